--- /dev/null
+++ b/proofs/src/main/java/io/anvilusher/proofs/Step.java
@@ -0,0 +1,74 @@
+package io.anvilusher.proofs;
+
+/**
+ * Steps of the paths through the system at which a fault can strike.
+ */
+public enum Step {
+
+	/** A candidate appends a lease claim. */
+	LEASE_CLAIM,
+
+	/** A holder appends a renewal of its lease. */
+	LEASE_RENEWAL,
+
+	/** The controller appends the intent of an engine order. */
+	ORDER_INTENT,
+
+	/** The sidecar appends that it starts an order. */
+	ORDER_START,
+
+	/** The engine executes an order. */
+	ORDER_EXECUTION,
+
+	/** The sidecar appends the outcome of an order. */
+	ORDER_SETTLEMENT,
+
+	/** The controller appends the intent to order or release backend servers. */
+	SCALE_INTENT,
+
+	/** The controller calls the platform's ordering interface. */
+	SCALE_CALL,
+
+	/** An operator's change of configuration is appended. */
+	CONFIG_APPEND,
+
+	/** A process applies a configuration. */
+	CONFIG_APPLY,
+
+	/** The state is written back to the log before its records expire. */
+	CHECKPOINT,
+
+	/** A key is granted or withdrawn. */
+	KEY_CHANGE,
+
+	/** An entry has received a request. */
+	REQUEST_RECEIVED,
+
+	/** An idempotency claim is appended. */
+	IDEMPOTENCY_CLAIM,
+
+	/** An attempt is on its way to a sidecar. */
+	ATTEMPT_DISPATCHED,
+
+	/** The backend server has started on an attempt. */
+	ATTEMPT_STARTED,
+
+	/** The answer is on its way to the caller. */
+	ANSWER_STREAMING,
+
+	/** The answer's last byte is on its way. */
+	ANSWER_END,
+
+	/** The platform's list of VMs is read. */
+	VM_LIST_READ,
+
+	/** An entry hands its counts to the lease holder. */
+	USAGE_FLUSH,
+
+	/** The figures of a usage window are sealed. */
+	USAGE_SEAL,
+
+	/** A sealed window is reported to the platform. */
+	USAGE_REPORT
+
+}
