Fold the log's records into control state; leases, peer transport

Every fact names what it is based on or is idempotent by nature, so a record appended twice takes effect once without a table of seen ids. Not yet run end to end.

--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/admission/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which requests wait, run or are refused.
+ */
+@NullMarked
+package io.anvilusher.logic.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/ClaimState.java
@@ -0,0 +1,76 @@
+package io.anvilusher.logic.fold;
+
+import java.util.Map;
+import java.util.Optional;
+
+import org.pcollections.TreePMap;
+
+import io.anvilusher.model.fact.IdempotencyClaimed;
+import io.anvilusher.model.fact.IdempotencyExpired;
+import io.anvilusher.model.fact.IdempotencySettled;
+import io.anvilusher.model.request.ClaimOutcome;
+import io.anvilusher.model.request.IdempotencyClaim;
+
+/**
+ * Idempotency claims. The first claim of a key wins; it can be replaced only after its
+ * attempt was proved not run.
+ *
+ * @param byKey the claims by key
+ */
+public record ClaimState(Map<String, IdempotencyClaim> byKey) {
+
+	/** State before any claim. */
+	static final ClaimState EMPTY = new ClaimState(Map.of());
+
+	public ClaimState {
+		byKey = PersistentMaps.of(byKey);
+	}
+
+	/**
+	 * Finds a claim.
+	 * @param claimKey key of the claim
+	 * @return the claim, or empty if the key is free
+	 */
+	public Optional<IdempotencyClaim> find(String claimKey) {
+		return Optional.ofNullable(this.byKey.get(claimKey));
+	}
+
+	Folded<ClaimState> claim(long offset, IdempotencyClaimed fact) {
+		Optional<IdempotencyClaim> earlier = find(fact.claimKey());
+		long base = earlier.map(IdempotencyClaim::offset).orElse(0L);
+		boolean free = earlier.isEmpty() || earlier.flatMap(IdempotencyClaim::result)
+			.filter((result) -> result.outcome() == ClaimOutcome.NOT_RUN)
+			.isPresent();
+		if (!free || fact.basedOnOffset() != base) {
+			return Folded.refused(this, Verdict.STALE_BASE);
+		}
+		IdempotencyClaim claim = new IdempotencyClaim(fact.claimKey(), fact.fingerprint(), fact.attemptId(),
+				fact.server(), fact.sidecarIncarnation(), offset, Optional.empty());
+		return Folded.accepted(with(claim));
+	}
+
+	Folded<ClaimState> settle(IdempotencySettled fact) {
+		return find(fact.claimKey())
+			.filter((claim) -> claim.attemptId().equals(fact.attemptId()) && claim.result().isEmpty())
+			.map((claim) -> Folded.accepted(with(claim.settled(fact.result()))))
+			.orElseGet(() -> Folded.refused(this, Verdict.NOT_OPEN));
+	}
+
+	Folded<ClaimState> expire(IdempotencyExpired fact, LeaseState leases) {
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		TreePMap<String, IdempotencyClaim> kept = PersistentMaps.of(this.byKey)
+			.minusAll(this.byKey.values()
+				.stream()
+				.filter((claim) -> claim.offset() <= fact.throughOffset())
+				.map(IdempotencyClaim::claimKey)
+				.toList());
+		return Folded.accepted(new ClaimState(kept));
+	}
+
+	private ClaimState with(IdempotencyClaim claim) {
+		return new ClaimState(PersistentMaps.with(this.byKey, claim.claimKey(), claim));
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/KeyState.java
@@ -0,0 +1,51 @@
+package io.anvilusher.logic.fold;
+
+import java.util.Map;
+import java.util.Optional;
+
+import io.anvilusher.model.fact.KeyGranted;
+import io.anvilusher.model.fact.KeyWithdrawn;
+import io.anvilusher.model.key.WorkspaceKey;
+
+/**
+ * All keys that were ever granted; a withdrawn key stays listed, so that it cannot be
+ * granted again.
+ *
+ * @param byId the keys by their public part
+ */
+public record KeyState(Map<String, WorkspaceKey> byId) {
+
+	/** State before any key. */
+	static final KeyState EMPTY = new KeyState(Map.of());
+
+	public KeyState {
+		byId = PersistentMaps.of(byId);
+	}
+
+	/**
+	 * Finds a key.
+	 * @param keyId its public part
+	 * @return the key, withdrawn or not, or empty if it is not known
+	 */
+	public Optional<WorkspaceKey> find(String keyId) {
+		return Optional.ofNullable(this.byId.get(keyId));
+	}
+
+	Folded<KeyState> grant(KeyGranted fact) {
+		if (this.byId.containsKey(fact.keyId())) {
+			return Folded.refused(this, Verdict.STALE_BASE);
+		}
+		return Folded.accepted(with(new WorkspaceKey(fact.keyId(), fact.workspace(), fact.secretHash(), false)));
+	}
+
+	Folded<KeyState> withdraw(KeyWithdrawn fact) {
+		return find(fact.keyId()).filter((key) -> !key.withdrawn())
+			.map((key) -> Folded.accepted(with(new WorkspaceKey(key.keyId(), key.workspace(), key.secretHash(), true))))
+			.orElseGet(() -> Folded.refused(this, Verdict.NOT_OPEN));
+	}
+
+	private KeyState with(WorkspaceKey key) {
+		return new KeyState(PersistentMaps.with(this.byId, key.keyId(), key));
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/LeaseState.java
@@ -0,0 +1,76 @@
+package io.anvilusher.logic.fold;
+
+import java.util.Map;
+import java.util.Optional;
+
+import io.anvilusher.model.fact.LeaseClaimed;
+import io.anvilusher.model.fact.LeaseReleased;
+import io.anvilusher.model.fact.LeaseRenewed;
+import io.anvilusher.model.lease.Lease;
+
+/**
+ * The leases. A claim takes effect only if no claim, renewal or release came between the
+ * record it was based on and itself.
+ *
+ * @param byName the leases by name
+ */
+public record LeaseState(Map<String, Lease> byName) {
+
+	/** State before any claim. */
+	static final LeaseState EMPTY = new LeaseState(Map.of());
+
+	public LeaseState {
+		byName = PersistentMaps.of(byName);
+	}
+
+	/**
+	 * Finds a lease.
+	 * @param name its name
+	 * @return the lease, or empty if it was never claimed
+	 */
+	public Optional<Lease> find(String name) {
+		return Optional.ofNullable(this.byName.get(name));
+	}
+
+	/**
+	 * Tells whether a term is the newest one of its lease and was not given back.
+	 * @param name name of the lease
+	 * @param term the term
+	 * @return whether it is
+	 */
+	public boolean isCurrent(String name, long term) {
+		return find(name).filter((lease) -> lease.term() == term && !lease.released()).isPresent();
+	}
+
+	Folded<LeaseState> claim(long offset, String recordId, LeaseClaimed fact) {
+		long lastOffset = find(fact.lease()).map(Lease::lastOffset).orElse(0L);
+		if (fact.basedOnOffset() != lastOffset) {
+			return Folded.refused(this, Verdict.STALE_BASE);
+		}
+		return Folded
+			.accepted(with(new Lease(fact.lease(), fact.holder(), offset, offset, recordId, fact.durationMs(), false)));
+	}
+
+	Folded<LeaseState> renew(long offset, String recordId, LeaseRenewed fact) {
+		return current(fact.lease(), fact.term())
+			.map((lease) -> Folded.accepted(with(new Lease(lease.name(), lease.holder(), lease.term(), offset, recordId,
+					lease.durationMs(), false))))
+			.orElseGet(() -> Folded.refused(this, Verdict.TERM_OVER));
+	}
+
+	Folded<LeaseState> release(long offset, String recordId, LeaseReleased fact) {
+		return current(fact.lease(), fact.term())
+			.map((lease) -> Folded.accepted(with(
+					new Lease(lease.name(), lease.holder(), lease.term(), offset, recordId, lease.durationMs(), true))))
+			.orElseGet(() -> Folded.refused(this, Verdict.TERM_OVER));
+	}
+
+	private Optional<Lease> current(String name, long term) {
+		return find(name).filter((lease) -> isCurrent(name, term));
+	}
+
+	private LeaseState with(Lease lease) {
+		return new LeaseState(PersistentMaps.with(this.byName, lease.name(), lease));
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/OrderState.java
@@ -0,0 +1,122 @@
+package io.anvilusher.logic.fold;
+
+import java.util.Map;
+import java.util.Optional;
+
+import io.anvilusher.model.fact.OrderAbandoned;
+import io.anvilusher.model.fact.OrderIntended;
+import io.anvilusher.model.fact.OrderSettled;
+import io.anvilusher.model.fact.OrderStarted;
+import io.anvilusher.model.order.EngineOrder;
+import io.anvilusher.model.order.OrderOutcome;
+
+/**
+ * Orders to engines. A server has at most one open order. An order takes effect only if
+ * its start was accepted while the term it was given under was current; a new term ends
+ * all orders of earlier terms that were not started.
+ *
+ * @param byServer the orders by server
+ */
+public record OrderState(Map<String, ServerOrders> byServer) {
+
+	/** State before any order. */
+	static final OrderState EMPTY = new OrderState(Map.of());
+
+	public OrderState {
+		byServer = PersistentMaps.of(byServer);
+	}
+
+	/**
+	 * Returns the orders of a server.
+	 * @param server the server
+	 * @return its orders
+	 */
+	public ServerOrders of(String server) {
+		return this.byServer.getOrDefault(server, ServerOrders.NONE);
+	}
+
+	/**
+	 * Finds an order that has not ended.
+	 * @param orderId id of the order
+	 * @return the order, or empty if none of that id is open
+	 */
+	public Optional<EngineOrder> findOpen(String orderId) {
+		return this.byServer.values()
+			.stream()
+			.flatMap((orders) -> orders.open().stream())
+			.filter((order) -> order.orderId().equals(orderId))
+			.findFirst();
+	}
+
+	Folded<OrderState> intend(long offset, OrderIntended fact, LeaseState leases) {
+		ServerOrders orders = of(fact.server());
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		if (orders.open().isPresent()) {
+			return Folded.refused(this, Verdict.ORDER_OPEN);
+		}
+		if (orders.lastOffset() != fact.basedOnOffset()) {
+			return Folded.refused(this, Verdict.STALE_BASE);
+		}
+		EngineOrder order = new EngineOrder(fact.orderId(), fact.lease(), fact.term(), fact.server(), fact.target(),
+				"");
+		return Folded.accepted(with(fact.server(), orders.opened(offset, order)));
+	}
+
+	Folded<OrderState> start(long offset, OrderStarted fact, LeaseState leases) {
+		Optional<EngineOrder> open = findOpen(fact.orderId());
+		if (open.isEmpty()) {
+			return Folded.refused(this, Verdict.NOT_OPEN);
+		}
+		EngineOrder order = open.get();
+		if (!order.isStarted() && !leases.isCurrent(order.lease(), order.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		EngineOrder started = order.startedBy(fact.sidecarIncarnation());
+		return Folded.accepted(with(order.server(), of(order.server()).opened(offset, started)));
+	}
+
+	Folded<OrderState> settle(long offset, OrderSettled fact) {
+		Optional<EngineOrder> open = findOpen(fact.orderId())
+			.filter((order) -> order.startedBy().equals(fact.sidecarIncarnation()));
+		if (open.isEmpty()) {
+			return Folded.refused(this, Verdict.NOT_OPEN);
+		}
+		EngineOrder order = open.get();
+		ServerOrders orders = of(order.server());
+		boolean done = fact.outcome() == OrderOutcome.DONE;
+		return Folded
+			.accepted(with(order.server(), done ? orders.carriedOut(offset, order.target()) : orders.closed(offset)));
+	}
+
+	Folded<OrderState> abandon(OrderAbandoned fact, LeaseState leases) {
+		Optional<EngineOrder> open = findOpen(fact.orderId());
+		if (open.isEmpty()) {
+			return Folded.refused(this, Verdict.NOT_OPEN);
+		}
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		return Folded.accepted(new OrderState(PersistentMaps.without(this.byServer, open.get().server())));
+	}
+
+	OrderState endUnstarted(long offset, String lease) {
+		OrderState result = this;
+		for (Map.Entry<String, ServerOrders> entry : this.byServer.entrySet()) {
+			boolean ends = entry.getValue()
+				.open()
+				.filter((order) -> order.lease().equals(lease) && !order.isStarted())
+				.isPresent();
+			if (ends) {
+				result = result.with(entry.getKey(), entry.getValue().closed(offset));
+			}
+		}
+		return result;
+	}
+
+	private OrderState with(String server, ServerOrders orders) {
+		return new OrderState(PersistentMaps.with(this.byServer, server, orders));
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/ScaleState.java
@@ -0,0 +1,73 @@
+package io.anvilusher.logic.fold;
+
+import java.util.Map;
+
+import io.anvilusher.model.fact.ScaleIntended;
+import io.anvilusher.model.fact.ScaleSettled;
+import io.anvilusher.model.scale.ScaleChange;
+import io.anvilusher.model.scale.ScaleIntent;
+
+/**
+ * Orders for backend servers. Each service has at most one open intent in a data centre.
+ *
+ * @param open the intents that the platform has not answered, by fleet
+ * @param lastOffset offset of the newest accepted record, by fleet
+ */
+public record ScaleState(Map<String, ScaleIntent> open, Map<String, Long> lastOffset) {
+
+	/** State before any intent. */
+	static final ScaleState EMPTY = new ScaleState(Map.of(), Map.of());
+
+	public ScaleState {
+		open = PersistentMaps.of(open);
+		lastOffset = PersistentMaps.of(lastOffset);
+	}
+
+	/**
+	 * Names the fleet that a change belongs to.
+	 * @param change the change
+	 * @return name of the fleet
+	 */
+	public static String fleetOf(ScaleChange change) {
+		return change.dataCentre() + "/" + change.service();
+	}
+
+	/**
+	 * Returns the offset that the next intent for a fleet has to be based on.
+	 * @param fleet name of the fleet
+	 * @return offset of the newest accepted record; 0 when there is none
+	 */
+	public long baseOf(String fleet) {
+		return this.lastOffset.getOrDefault(fleet, 0L);
+	}
+
+	Folded<ScaleState> intend(long offset, ScaleIntended fact, LeaseState leases) {
+		String fleet = fleetOf(fact.change());
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		if (this.open.containsKey(fleet)) {
+			return Folded.refused(this, Verdict.ORDER_OPEN);
+		}
+		if (baseOf(fleet) != fact.basedOnOffset()) {
+			return Folded.refused(this, Verdict.STALE_BASE);
+		}
+		ScaleIntent intent = new ScaleIntent(fact.scaleId(), fact.lease(), fact.term(), fact.change());
+		return Folded.accepted(new ScaleState(PersistentMaps.with(this.open, fleet, intent),
+				PersistentMaps.with(this.lastOffset, fleet, offset)));
+	}
+
+	Folded<ScaleState> settle(long offset, ScaleSettled fact, LeaseState leases) {
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		return this.open.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().scaleId().equals(fact.scaleId()))
+			.findFirst()
+			.map((entry) -> Folded.accepted(new ScaleState(PersistentMaps.without(this.open, entry.getKey()),
+					PersistentMaps.with(this.lastOffset, entry.getKey(), offset))))
+			.orElseGet(() -> Folded.refused(this, Verdict.NOT_OPEN));
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/SuspectState.java
@@ -0,0 +1,71 @@
+package io.anvilusher.logic.fold;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.anvilusher.model.fact.CrashObserved;
+import io.anvilusher.model.fact.SuspectCleared;
+import io.anvilusher.model.suspect.SuspectRequest;
+
+/**
+ * Requests that were running when backend servers crashed.
+ *
+ * @param byFingerprint the requests by fingerprint
+ */
+public record SuspectState(Map<String, SuspectRequest> byFingerprint) {
+
+	/** State before any crash. */
+	static final SuspectState EMPTY = new SuspectState(Map.of());
+
+	/** Most suspects kept; the oldest are dropped first. */
+	private static final int MAX_SUSPECTS = 4096;
+
+	public SuspectState {
+		byFingerprint = PersistentMaps.of(byFingerprint);
+	}
+
+	/**
+	 * Returns the number of crashes during which a request was running.
+	 * @param fingerprint hash of the request
+	 * @return the number
+	 */
+	public int crashes(String fingerprint) {
+		return Optional.ofNullable(this.byFingerprint.get(fingerprint))
+			.map((suspect) -> suspect.crashIds().size())
+			.orElse(0);
+	}
+
+	Folded<SuspectState> observe(long offset, CrashObserved fact) {
+		Map<String, SuspectRequest> suspects = this.byFingerprint;
+		for (String fingerprint : fact.fingerprints()) {
+			SuspectRequest known = suspects.getOrDefault(fingerprint,
+					new SuspectRequest(fingerprint, Set.of(), offset));
+			Set<String> crashIds = new HashSet<>(known.crashIds());
+			crashIds.add(fact.crashId());
+			suspects = PersistentMaps.with(suspects, fingerprint,
+					new SuspectRequest(fingerprint, crashIds, known.firstOffset()));
+		}
+		return Folded.accepted(new SuspectState(suspects).bounded());
+	}
+
+	Folded<SuspectState> clear(SuspectCleared fact) {
+		if (!this.byFingerprint.containsKey(fact.fingerprint())) {
+			return Folded.refused(this, Verdict.NOT_OPEN);
+		}
+		return Folded.accepted(new SuspectState(PersistentMaps.without(this.byFingerprint, fact.fingerprint())));
+	}
+
+	private SuspectState bounded() {
+		if (this.byFingerprint.size() <= MAX_SUSPECTS) {
+			return this;
+		}
+		return this.byFingerprint.values()
+			.stream()
+			.min((left, right) -> Long.compare(left.firstOffset(), right.firstOffset()))
+			.map((oldest) -> new SuspectState(PersistentMaps.without(this.byFingerprint, oldest.fingerprint())))
+			.orElse(this);
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fold/UsageState.java
@@ -0,0 +1,79 @@
+package io.anvilusher.logic.fold;
+
+import java.util.Map;
+
+import io.anvilusher.model.fact.UsageReported;
+import io.anvilusher.model.fact.UsageSealed;
+import io.anvilusher.model.usage.SealedWindow;
+
+/**
+ * Usage windows. Each lease numbers its own windows from 1, and a window is sealed once.
+ *
+ * @param lastSealed newest sealed window, by lease
+ * @param unreported sealed windows that the platform has not taken, by lease and number
+ * @param flushedThrough newest flush of each entry incarnation that a sealed window
+ * contains
+ */
+public record UsageState(Map<String, Long> lastSealed, Map<String, SealedWindow> unreported,
+		Map<String, Long> flushedThrough) {
+
+	/** State before any window. */
+	static final UsageState EMPTY = new UsageState(Map.of(), Map.of(), Map.of());
+
+	public UsageState {
+		lastSealed = PersistentMaps.of(lastSealed);
+		unreported = PersistentMaps.of(unreported);
+		flushedThrough = PersistentMaps.of(flushedThrough);
+	}
+
+	/**
+	 * Returns the number of the window to seal next.
+	 * @param lease name of the lease
+	 * @return the number
+	 */
+	public long nextWindow(String lease) {
+		return this.lastSealed.getOrDefault(lease, 0L) + 1;
+	}
+
+	/**
+	 * Returns the newest flush of an entry that a sealed window contains.
+	 * @param entryIncarnation incarnation of the entry
+	 * @return number of the flush; 0 when there is none
+	 */
+	public long flushedThrough(String entryIncarnation) {
+		return this.flushedThrough.getOrDefault(entryIncarnation, 0L);
+	}
+
+	Folded<UsageState> seal(UsageSealed fact, LeaseState leases) {
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		if (fact.window() != nextWindow(fact.lease())) {
+			return Folded.refused(this, Verdict.STALE_BASE);
+		}
+		Map<String, Long> flushed = this.flushedThrough;
+		for (Map.Entry<String, Long> entry : fact.flushedThrough().entrySet()) {
+			flushed = PersistentMaps.with(flushed, entry.getKey(), entry.getValue());
+		}
+		SealedWindow window = new SealedWindow(fact.window(), fact.lease(), fact.term(), fact.lines());
+		return Folded.accepted(new UsageState(PersistentMaps.with(this.lastSealed, fact.lease(), fact.window()),
+				PersistentMaps.with(this.unreported, key(fact.lease(), fact.window()), window), flushed));
+	}
+
+	Folded<UsageState> report(UsageReported fact, LeaseState leases) {
+		String key = key(fact.lease(), fact.window());
+		if (!leases.isCurrent(fact.lease(), fact.term())) {
+			return Folded.refused(this, Verdict.TERM_OVER);
+		}
+		if (!this.unreported.containsKey(key)) {
+			return Folded.refused(this, Verdict.NOT_OPEN);
+		}
+		return Folded.accepted(
+				new UsageState(this.lastSealed, PersistentMaps.without(this.unreported, key), this.flushedThrough));
+	}
+
+	private static String key(String lease, long window) {
+		return "%s/%012d".formatted(lease, window);
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/key/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Keys, their hashes and their checks.
+ */
+@NullMarked
+package io.anvilusher.logic.key;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/order/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides what a sidecar does about the orders for its engine.
+ */
+@NullMarked
+package io.anvilusher.logic.order;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/routing/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Picks the backend server for an attempt.
+ */
+@NullMarked
+package io.anvilusher.logic.routing;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/config/Configuration.java
@@ -0,0 +1,60 @@
+package io.anvilusher.model.config;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One version of the operator's configuration.
+ *
+ * @param deployment name of the deployment
+ * @param dataCentres its data centres
+ * @param services its services
+ * @param workspaces its workspaces
+ */
+public record Configuration(String deployment, List<DataCentre> dataCentres, List<ServiceSpec> services,
+		List<WorkspaceSpec> workspaces) {
+
+	public Configuration {
+		dataCentres = List.copyOf(dataCentres);
+		services = List.copyOf(services);
+		workspaces = List.copyOf(workspaces);
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name its name
+	 * @return the service, or empty if there is none of that name
+	 */
+	public Optional<ServiceSpec> service(String name) {
+		return this.services.stream().filter((service) -> service.name().equals(name)).findFirst();
+	}
+
+	/**
+	 * Finds the service that answers for a model.
+	 * @param model name of the model
+	 * @return the service, or empty if none answers for it
+	 */
+	public Optional<ServiceSpec> serviceOfModel(String model) {
+		return this.services.stream().filter((service) -> service.models().contains(model)).findFirst();
+	}
+
+	/**
+	 * Finds the plain service that has a route for a call.
+	 * @param method the call's method
+	 * @param path the call's path, without its query
+	 * @return the service, or empty if none has such a route
+	 */
+	public Optional<ServiceSpec> serviceOfRoute(String method, String path) {
+		return this.services.stream().filter((service) -> service.route(method, path).isPresent()).findFirst();
+	}
+
+	/**
+	 * Finds a workspace.
+	 * @param name its name
+	 * @return the workspace, or empty if there is none of that name
+	 */
+	public Optional<WorkspaceSpec> workspace(String name) {
+		return this.workspaces.stream().filter((workspace) -> workspace.name().equals(name)).findFirst();
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/key/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Workspace keys.
+ */
+@NullMarked
+package io.anvilusher.model.key;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/lease/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Leases and their fencing tokens.
+ */
+@NullMarked
+package io.anvilusher.model.lease;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/order/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Orders to model engines.
+ */
+@NullMarked
+package io.anvilusher.model.order;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/request/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Requests, attempts and their outcomes.
+ */
+@NullMarked
+package io.anvilusher.model.request;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/suspect/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Requests suspected of crashing backend servers.
+ */
+@NullMarked
+package io.anvilusher.model.suspect;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/usage/SealedWindow.java
@@ -0,0 +1,19 @@
+package io.anvilusher.model.usage;
+
+import java.util.List;
+
+/**
+ * A usage window whose figures are final.
+ *
+ * @param window number of the window
+ * @param lease lease under which it was sealed
+ * @param term term of that lease
+ * @param lines the figures
+ */
+public record SealedWindow(long window, String lease, long term, List<UsageLine> lines) {
+
+	public SealedWindow {
+		lines = List.copyOf(lines);
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/anvilusher/model/usage/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Counts of work done for workspaces.
+ */
+@NullMarked
+package io.anvilusher.model.usage;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/protocol/src/main/java/io/anvilusher/protocol/transport/PeerPipeline.java
@@ -0,0 +1,52 @@
+package io.anvilusher.protocol.transport;
+
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.codec.protobuf.ProtobufDecoder;
+import io.netty.handler.codec.protobuf.ProtobufEncoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.handler.timeout.IdleStateHandler;
+
+import io.anvilusher.protocol.generated.PeerMessages.Frame;
+import io.anvilusher.protocol.generated.PeerMessages.Hello;
+
+/**
+ * Sets up the handlers of a connection.
+ */
+final class PeerPipeline extends ChannelInitializer<SocketChannel> {
+
+	private static final int MAX_FRAME_BYTES = 64 * 1024 * 1024;
+
+	private static final int LENGTH_FIELD_BYTES = 4;
+
+	private final Hello local;
+
+	private final PeerTiming timing;
+
+	private final PeerListener listener;
+
+	PeerPipeline(Hello local, PeerTiming timing, PeerListener listener) {
+		this.local = local;
+		this.timing = timing;
+		this.listener = listener;
+	}
+
+	@Override
+	protected void initChannel(SocketChannel channel) {
+		channel.config().setTcpNoDelay(true);
+		channel.pipeline()
+			.addLast(new IdleStateHandler(this.timing.readTimeoutMs(), this.timing.keepAliveMs(), 0,
+					TimeUnit.MILLISECONDS))
+			.addLast(new FlushConsolidationHandler())
+			.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_FIELD_BYTES, 0, LENGTH_FIELD_BYTES))
+			.addLast(new ProtobufDecoder(Frame.getDefaultInstance()))
+			.addLast(new LengthFieldPrepender(LENGTH_FIELD_BYTES))
+			.addLast(new ProtobufEncoder())
+			.addLast(new FrameHandler(this.local, this.listener));
+	}
+
+}
