--- /dev/null
+++ b/adapters/src/main/java/io/anvilusher/adapters/config/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Reads the operator's configuration text.
+ */
+@NullMarked
+package io.anvilusher.adapters.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/adapters/src/main/java/io/anvilusher/adapters/platform/VmList.java
@@ -0,0 +1,73 @@
+package io.anvilusher.adapters.platform;
+
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.StreamSupport;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+import io.anvilusher.adapters.http.HttpAnswer;
+import io.anvilusher.adapters.http.HttpCall;
+import io.anvilusher.adapters.http.HttpCaller;
+import io.anvilusher.model.fleet.Vm;
+import io.anvilusher.model.fleet.VmRole;
+
+/**
+ * The platform's lagging list of VMs, from {@code GET /vms}.
+ */
+public final class VmList {
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	private final HttpCaller caller;
+
+	private final URI target;
+
+	private final long timeoutMs;
+
+	/**
+	 * Creates a client of the list.
+	 * @param caller makes the calls
+	 * @param target scheme, host and port of the platform
+	 * @param timeoutMs longest time to wait for an answer
+	 */
+	public VmList(HttpCaller caller, URI target, long timeoutMs) {
+		this.caller = caller;
+		this.target = target;
+		this.timeoutMs = timeoutMs;
+	}
+
+	/**
+	 * Reads the list.
+	 * @return the VMs, or empty if the list could not be read; never fails exceptionally
+	 */
+	public CompletableFuture<Optional<List<Vm>>> read() {
+		return this.caller.call(HttpCall.of("GET", this.target, "/vms", new byte[0]), this.timeoutMs)
+			.handle((answer, failure) -> (failure != null) ? Optional.empty() : vms(answer));
+	}
+
+	private static Optional<List<Vm>> vms(HttpAnswer answer) {
+		if (!answer.isSuccess()) {
+			return Optional.empty();
+		}
+		try {
+			JsonNode vms = MAPPER.readTree(answer.body()).path("vms");
+			return Optional.of(StreamSupport.stream(vms.spliterator(), false).map(VmList::vm).toList());
+		}
+		catch (IOException | IllegalArgumentException ex) {
+			return Optional.empty();
+		}
+	}
+
+	private static Vm vm(JsonNode node) {
+		return new Vm(node.path("vm").asText(), node.path("data_centre").asText(), node.path("address").asText(),
+				VmRole.valueOf(node.path("role").asText().toUpperCase(Locale.ROOT)), node.path("service").asText(""),
+				node.path("leaving").asBoolean());
+	}
+
+}
--- /dev/null
+++ b/adapters/src/main/java/io/anvilusher/adapters/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Clients of the platform's interfaces.
+ */
+@NullMarked
+package io.anvilusher.adapters.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/SocketAddresses.java
@@ -0,0 +1,77 @@
+package io.anvilusher.adapters.process;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.anvilusher.adapters.json.ObjectReader;
+
+/**
+ * Reads addresses written as IP number and port. Names are not taken, since processes
+ * talk by IP numbers.
+ */
+public final class SocketAddresses {
+
+	private static final int MAX_PORT = 65_535;
+
+	private static final Pattern ADDRESS = Pattern
+		.compile("(\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}|\\[[0-9a-fA-F:]+])\\:(\\d{1,5})");
+
+	private SocketAddresses() {
+	}
+
+	/**
+	 * Reads an address.
+	 * @param text the IP number and port
+	 * @return the address, or empty if the text is none
+	 */
+	public static Optional<InetSocketAddress> parse(String text) {
+		Matcher matcher = ADDRESS.matcher(text);
+		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
+			return Optional.empty();
+		}
+		return Optional.of(new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))));
+	}
+
+	/**
+	 * Reads a settings field that holds an address.
+	 * @param reader the settings
+	 * @param field name of the field
+	 * @return the address, or one on the loopback interface after a mistake
+	 */
+	public static InetSocketAddress read(ObjectReader reader, String field) {
+		String text = reader.text(field);
+		Optional<InetSocketAddress> address = parse(text);
+		if (address.isEmpty() && !text.isEmpty()) {
+			reader.problem(field, "\"" + field + "\" must be an IP number and a port, such as 10.0.0.7:8080");
+		}
+		return address.orElseGet(() -> new InetSocketAddress("127.0.0.1", 0));
+	}
+
+	/**
+	 * Reads a settings field that holds the base of an HTTP interface.
+	 * @param reader the settings
+	 * @param field name of the field
+	 * @return scheme, host and port
+	 */
+	public static URI readTarget(ObjectReader reader, String field) {
+		String text = reader.text(field);
+		boolean valid = text.startsWith("http://") && parse(text.substring("http://".length())).isPresent();
+		if (!valid && !text.isEmpty()) {
+			reader.problem(field, "\"" + field + "\" must be http://, an IP number and a port");
+		}
+		return URI.create(valid ? text : "http://127.0.0.1:0");
+	}
+
+	/**
+	 * Writes an address the way it is read.
+	 * @param address the address
+	 * @return the IP number and port
+	 */
+	public static String format(InetSocketAddress address) {
+		return address.getAddress().getHostAddress() + ":" + address.getPort();
+	}
+
+}
--- a/logic/src/main/java/io/anvilusher/logic/fold/ControlState.java
+++ b/logic/src/main/java/io/anvilusher/logic/fold/ControlState.java
@@ -61,6 +61,15 @@
 		return new Folded<>(folded.state().at(entry.offset()), folded.verdict());
 	}
 
+	/**
+	 * Passes over a record that cannot be read.
+	 * @param offset its place
+	 * @return the state, which has changed in nothing but its offset
+	 */
+	public ControlState skip(long offset) {
+		return at(Math.max(offset, this.appliedOffset));
+	}
+
 	private Folded<ControlState> dispatch(long offset, String recordId, Fact fact) {
 		if (fact instanceof ConfigurationPublished published) {
 			return map(this.configuration.publish(offset, published), this::withConfiguration);
--- /dev/null
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/AttemptHandler.java
@@ -0,0 +1,207 @@
+package io.anvilusher.sidecar.attempt;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.anvilusher.adapters.http.StreamingHttpClient;
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.adapters.process.ProcessIdentity;
+import io.anvilusher.model.request.AttemptFailure;
+import io.anvilusher.protocol.generated.PeerMessages.AttemptAccepted;
+import io.anvilusher.protocol.generated.PeerMessages.AttemptFailed;
+import io.anvilusher.protocol.generated.PeerMessages.AttemptQuery;
+import io.anvilusher.protocol.generated.PeerMessages.AttemptStart;
+import io.anvilusher.protocol.generated.PeerMessages.AttemptVerdict;
+import io.anvilusher.protocol.generated.PeerMessages.Credit;
+import io.anvilusher.protocol.generated.PeerMessages.Frame;
+import io.anvilusher.protocol.transport.PeerConnection;
+
+/**
+ * Takes in attempts from entries, starts those that may run and refuses the others as not
+ * run.
+ */
+public final class AttemptHandler {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(AttemptHandler.class);
+
+	private final ProcessIdentity identity;
+
+	private final MonotonicClock clock;
+
+	private final ServerGate gate;
+
+	private final StreamingHttpClient client;
+
+	private final URI backend;
+
+	private final Meters meters;
+
+	private final AttemptLedger ledger;
+
+	private final AttemptEndListener endListener;
+
+	private final Map<String, RunningAttempt> running = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a handler.
+	 * @param identity this process
+	 * @param clock the clock that start limits are checked against
+	 * @param gate decides whether the server takes an attempt
+	 * @param client calls the backend server
+	 * @param backend HTTP interface of the backend server
+	 * @param meters counts refusals
+	 * @param endListener learns of the end of each attempt
+	 */
+	public AttemptHandler(ProcessIdentity identity, MonotonicClock clock, ServerGate gate, StreamingHttpClient client,
+			URI backend, Meters meters, AttemptEndListener endListener) {
+		this.identity = identity;
+		this.clock = clock;
+		this.gate = gate;
+		this.client = client;
+		this.backend = backend;
+		this.meters = meters;
+		this.endListener = endListener;
+		this.ledger = new AttemptLedger(clock);
+	}
+
+	/**
+	 * Takes in an attempt.
+	 * @param connection connection to the entry
+	 * @param start the attempt
+	 */
+	public void onStart(PeerConnection connection, AttemptStart start) {
+		RunningAttempt attempt = new RunningAttempt(start, connection, this::ended);
+		Optional<AttemptFailure> refusal = tooLate(start);
+		if (refusal.isEmpty()) {
+			refusal = start.getSuspect() ? this.gate.enterAlone(() -> begin(attempt)) : this.gate.enter();
+		}
+		if (refusal.isPresent()) {
+			refuse(connection, start.getAttemptId(), refusal.get());
+			return;
+		}
+		if (!start.getSuspect()) {
+			begin(attempt);
+		}
+	}
+
+	private Optional<AttemptFailure> tooLate(AttemptStart start) {
+		if (!start.getSidecarIncarnation().equals(this.identity.incarnation())) {
+			return Optional.of(AttemptFailure.SIDECAR_REPLACED);
+		}
+		return (this.clock.nowMs() > start.getStartBeforeMs()) ? Optional.of(AttemptFailure.STARTED_TOO_LATE)
+				: Optional.empty();
+	}
+
+	private void begin(RunningAttempt attempt) {
+		AttemptStart start = attempt.start();
+		// A suspect may have waited for others to end.
+		Optional<AttemptFailure> refusal = tooLate(start);
+		if (refusal.isEmpty() && !this.ledger.start(start.getAttemptId())) {
+			refusal = Optional.of(AttemptFailure.CANCELLED);
+		}
+		if (refusal.isPresent()) {
+			refuse(attempt.connection(), start.getAttemptId(), refusal.get());
+			this.gate.leave();
+			return;
+		}
+		this.running.put(start.getAttemptId(), attempt);
+		attempt.connection()
+			.send(Frame.newBuilder()
+				.setAttemptAccepted(AttemptAccepted.newBuilder().setAttemptId(start.getAttemptId()))
+				.build());
+		attempt.begin(this.client, this.backend);
+	}
+
+	private void refuse(PeerConnection connection, String attemptId, AttemptFailure reason) {
+		this.meters.counter("anvilusher.attempts.refused", "reason", reason.label()).increment();
+		connection.send(Frame.newBuilder()
+			.setAttemptFailed(
+					AttemptFailed.newBuilder().setAttemptId(attemptId).setNotRun(true).setReason(reason.name()))
+			.build());
+	}
+
+	private void ended(RunningAttempt.Ended ended) {
+		AttemptStart start = ended.attempt().start();
+		this.ledger.finish(ended.verdict());
+		List<String> others = this.running.values()
+			.stream()
+			.map((attempt) -> attempt.start().getFingerprint())
+			.distinct()
+			.toList();
+		this.running.remove(start.getAttemptId());
+		this.meters
+			.counter("anvilusher.attempts.ended", "outcome",
+					ended.failure().map(AttemptFailure::label).orElse("answered"))
+			.increment();
+		ended.failure()
+			.ifPresent((failure) -> LOGGER.info("Attempt {} of request {} ended: {}", start.getAttemptId(),
+					start.getRequestId(), failure));
+		this.gate.leave();
+		this.endListener.onAttemptEnded(start, ended.failure(), others);
+	}
+
+	/**
+	 * Breaks an attempt off, or makes sure that it never starts.
+	 * @param connection connection to the entry
+	 * @param attemptId id of the attempt
+	 */
+	public void onCancel(PeerConnection connection, String attemptId) {
+		RunningAttempt attempt = this.running.get(attemptId);
+		if (attempt != null) {
+			attempt.breakOff(AttemptFailure.CANCELLED);
+			return;
+		}
+		if (this.ledger.seal(attemptId).getState() == AttemptVerdict.State.NEVER_STARTED) {
+			refuse(connection, attemptId, AttemptFailure.CANCELLED);
+		}
+	}
+
+	/**
+	 * Lets an attempt send more of its answer.
+	 * @param credit the attempt and the number of bytes
+	 */
+	public void onCredit(Credit credit) {
+		RunningAttempt attempt = this.running.get(credit.getAttemptId());
+		if (attempt != null) {
+			attempt.addCredit(credit.getBytes());
+		}
+	}
+
+	/**
+	 * Tells what became of an attempt.
+	 * @param connection connection that the question came from
+	 * @param query the question
+	 */
+	public void onQuery(PeerConnection connection, AttemptQuery query) {
+		connection.send(Frame.newBuilder().setAttemptVerdict(verdict(query)).build());
+	}
+
+	private AttemptVerdict verdict(AttemptQuery query) {
+		AttemptVerdict unknown = AttemptVerdict.newBuilder().setAttemptId(query.getAttemptId()).build();
+		if (!query.getSidecarIncarnation().equals(this.identity.incarnation())) {
+			return unknown;
+		}
+		return query.getSeal() ? this.ledger.seal(query.getAttemptId())
+				: this.ledger.find(query.getAttemptId()).orElse(unknown);
+	}
+
+	/**
+	 * Breaks off the attempts of a lost connection whose answers nobody can take in.
+	 * Calls that may not be repeated run on, so that their outcome can be asked for.
+	 * @param connection the connection
+	 */
+	public void onConnectionLost(PeerConnection connection) {
+		this.running.values()
+			.stream()
+			.filter((attempt) -> attempt.connection() == connection && attempt.start().getRepeatable())
+			.forEach((attempt) -> attempt.breakOff(AttemptFailure.LINK_LOST));
+	}
+
+}
--- /dev/null
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The process beside each backend server.
+ */
+@NullMarked
+package io.anvilusher.sidecar;
+
+import org.jspecify.annotations.NullMarked;
