--- a/adapters/src/main/java/io/anvilusher/adapters/control/RecordSubscription.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/RecordSubscription.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 import io.anvilusher.adapters.platform.PlatformLog.RawRecord;
 import io.anvilusher.protocol.codec.RecordCodec;
@@ -22,6 +23,8 @@
 
 	private final ControlFollower follower;
 
+	private final BooleanSupplier needed;
+
 	private final List<PeerConnection> sources = new ArrayList<>();
 
 	private int current;
@@ -32,12 +35,16 @@
 
 	private boolean answered = true;
 
+	private volatile long answeredAtMs = Long.MIN_VALUE;
+
 	/**
 	 * Creates a subscription without sources.
 	 * @param follower folds the records
+	 * @param needed tells whether records are to be asked for now
 	 */
-	public RecordSubscription(ControlFollower follower) {
+	public RecordSubscription(ControlFollower follower, BooleanSupplier needed) {
 		this.follower = follower;
+		this.needed = needed;
 	}
 
 	/**
@@ -81,8 +88,17 @@
 		this.follower.thread().run(() -> fold(reply));
 	}
 
+	/**
+	 * Tells whether a source has answered lately, whether or not it reaches the log.
+	 * @param withinMs how lately
+	 * @return whether one has
+	 */
+	public boolean hasAnswered(long withinMs) {
+		return this.answeredAtMs != Long.MIN_VALUE && this.follower.clock().nowMs() - this.answeredAtMs <= withinMs;
+	}
+
 	private void poll() {
-		if (this.sources.isEmpty()) {
+		if (this.sources.isEmpty() || !this.needed.getAsBoolean()) {
 			return;
 		}
 		if (!this.answered || this.follower.ageMs() > STALE_SOURCE_MS) {
@@ -121,6 +137,7 @@
 			return Long.MIN_VALUE;
 		}
 		this.answered = true;
+		this.answeredAtMs = this.follower.clock().nowMs();
 		return (reply.getLogAgeMs() < 0) ? Long.MIN_VALUE : this.requestedAtMs - reply.getLogAgeMs();
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/HttpCaller.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/HttpCaller.java
@@ -32,12 +32,13 @@
 	public CompletableFuture<HttpAnswer> call(HttpCall call, long timeoutMs) {
 		Collector collector = new Collector();
 		RunningCall running = this.client.start(call, collector);
-		this.client.after(timeoutMs, () -> {
+		Runnable timeout = this.client.after(timeoutMs, () -> {
 			if (!collector.answer.isDone()) {
 				collector.answer.completeExceptionally(new IOException("No answer within " + timeoutMs + " ms"));
 				running.cancel();
 			}
 		});
+		collector.answer.whenComplete((answer, failure) -> timeout.run());
 		return collector.answer;
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -106,9 +106,10 @@
 	 * Runs a task later on one of the client's threads.
 	 * @param delayMs the delay
 	 * @param task the task
+	 * @return takes the task back
 	 */
-	public void after(long delayMs, Runnable task) {
-		this.worker.getIoThread().executeAfter(task, delayMs, TimeUnit.MILLISECONDS);
+	public Runnable after(long delayMs, Runnable task) {
+		return this.worker.getIoThread().executeAfter(task, delayMs, TimeUnit.MILLISECONDS)::remove;
 	}
 
 	private @Nullable ClientConnection takeIdle(URI target) {
--- a/adapters/src/main/java/io/anvilusher/adapters/process/CommandLine.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/CommandLine.java
@@ -52,10 +52,8 @@
 	public ExitCode run(String... args) {
 		Help help = new Help();
 		JCommander commander = JCommander.newBuilder().programName(this.program).addObject(help).build();
-		this.commands.forEach((name, command) -> {
-			commander.addCommand(name, new Options());
-			commander.getCommands().get(name).addObject(command);
-		});
+		// The usage text takes a command's description from its first object.
+		this.commands.forEach((name, command) -> commander.addCommand(name, new Object[] { command, new Options() }));
 		try {
 			commander.parse(joinWords(args));
 		}
@@ -74,7 +72,7 @@
 			return help.help ? ExitCode.OK : ExitCode.USAGE;
 		}
 		JCommander parsed = commander.getCommands().get(name);
-		if (((Options) parsed.getObjects().get(0)).help) {
+		if (((Options) parsed.getObjects().get(1)).help) {
 			usage(parsed, this.out);
 			return ExitCode.OK;
 		}
--- /dev/null
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -0,0 +1,200 @@
+package io.anvilusher.entry;
+
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.anvilusher.adapters.config.ConfigurationParser;
+import io.anvilusher.adapters.config.ParsedConfiguration;
+import io.anvilusher.adapters.control.ControlFollower;
+import io.anvilusher.adapters.control.ControlThread;
+import io.anvilusher.adapters.control.LogReader;
+import io.anvilusher.adapters.control.RecordAppender;
+import io.anvilusher.adapters.control.RecordFeed;
+import io.anvilusher.adapters.control.RecordSubscription;
+import io.anvilusher.adapters.http.HttpCaller;
+import io.anvilusher.adapters.http.StreamingHttpClient;
+import io.anvilusher.adapters.metrics.AdminServer;
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.platform.HttpPlatformLog;
+import io.anvilusher.adapters.platform.PlatformLog;
+import io.anvilusher.adapters.platform.VmList;
+import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.adapters.process.ProcessIdentity;
+import io.anvilusher.entry.claim.ClaimDesk;
+import io.anvilusher.entry.dispatch.AttemptRegistry;
+import io.anvilusher.entry.dispatch.Dispatcher;
+import io.anvilusher.entry.dispatch.ServerDirectory;
+import io.anvilusher.entry.dispatch.UsageMeter;
+import io.anvilusher.entry.fleet.EntryPeers;
+import io.anvilusher.entry.fleet.FleetWatcher;
+import io.anvilusher.entry.http.HttpFront;
+import io.anvilusher.entry.http.RequestFilters;
+import io.anvilusher.logic.fold.ControlState;
+import io.anvilusher.logic.routing.PrefixAffinePicker;
+import io.anvilusher.model.config.Configuration;
+import io.anvilusher.protocol.generated.PeerMessages.Hello;
+import io.anvilusher.protocol.transport.PeerLink;
+import io.anvilusher.protocol.transport.PeerServer;
+import io.anvilusher.protocol.transport.PeerTiming;
+
+/**
+ * A running entry.
+ */
+public final class Entry {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(Entry.class);
+
+	private static final int NETTY_THREADS = 2;
+
+	private static final long PLATFORM_TIMEOUT_MS = 2000;
+
+	private final EntrySettings settings;
+
+	private final ProcessIdentity identity;
+
+	private final Meters meters = new Meters();
+
+	private final ControlThread controlThread = new ControlThread();
+
+	private final ControlFollower follower = new ControlFollower(this.controlThread, MonotonicClock.SYSTEM);
+
+	private final StreamingHttpClient platformClient = StreamingHttpClient.create("platform", 1);
+
+	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(NETTY_THREADS, NioIoHandler.newFactory());
+
+	private final ServerDirectory directory = new ServerDirectory(MonotonicClock.SYSTEM,
+			new PrefixAffinePicker(new SplittableRandom()));
+
+	private final ControlFreshness freshness;
+
+	private final LogReader logReader;
+
+	private final Dispatcher dispatcher;
+
+	private final FleetWatcher fleet;
+
+	private final HttpFront front;
+
+	private final PeerServer peerServer;
+
+	private final AdminServer admin;
+
+	private volatile Optional<Configuration> configuration = Optional.empty();
+
+	private volatile boolean stopping;
+
+	private Entry(EntrySettings settings) {
+		this.settings = settings;
+		this.identity = ProcessIdentity.start(settings.process(), settings.dataCentre());
+		HttpCaller platform = new HttpCaller(this.platformClient);
+		PlatformLog log = new HttpPlatformLog(platform, settings.platform(), PLATFORM_TIMEOUT_MS);
+		this.logReader = new LogReader(log, this.follower, this.meters);
+		RecordAppender appender = new RecordAppender(log, this.follower, this.identity.incarnation(), this.meters);
+		RecordFeed feed = new RecordFeed(this.follower);
+		RecordSubscription subscription = new RecordSubscription(this.follower, this::readsFromPeers);
+		AttemptRegistry registry = new AttemptRegistry(this.meters);
+		ClaimDesk claims = new ClaimDesk(this.follower, appender, this.directory);
+		this.dispatcher = new Dispatcher(this.directory, registry, claims, this.follower, new UsageMeter(),
+				this.meters);
+		EntryPeers peers = new EntryPeers(this.directory, registry, this.dispatcher, claims, feed, subscription,
+				(connection) -> this.controlThread.run(() -> this.fleet().notifyLeaving(connection)));
+		Hello hello = hello();
+		this.fleet = new FleetWatcher(settings.process(),
+				new VmList(platform, settings.platform(), PLATFORM_TIMEOUT_MS), this.directory, this.controlThread,
+				(address) -> PeerLink.open(this.group, address, hello, PeerTiming.DEFAULT, peers));
+		this.freshness = new ControlFreshness(this.follower, subscription, this.fleet::hasOtherEntries);
+		this.follower.addListener(this::onState);
+		this.front = new HttpFront(settings, RequestFilters.chain(settings, () -> this.follower.state().keys(),
+				peers::isWithdrawn, this.freshness, this.dispatcher), () -> this.configuration, MonotonicClock.SYSTEM,
+				this.meters);
+		this.peerServer = PeerServer.start(this.group, settings.peerAddress(), hello, PeerTiming.DEFAULT, peers);
+		this.admin = AdminServer.start(settings.adminAddress(), this.meters, this::isReady,
+				() -> EntryStatus.write(this.identity, this.follower, this.directory, this.dispatcher, this.fleet));
+		subscription.start();
+	}
+
+	private FleetWatcher fleet() {
+		return this.fleet;
+	}
+
+	private Hello hello() {
+		return Hello.newBuilder()
+			.setProcess(this.settings.process())
+			.setIncarnation(this.identity.incarnation())
+			.setRole(EntryPeers.ENTRY)
+			.setDataCentre(this.settings.dataCentre())
+			.build();
+	}
+
+	/**
+	 * Starts an entry.
+	 * @param settings its settings
+	 * @return the running entry
+	 */
+	public static Entry start(EntrySettings settings) {
+		Entry entry = new Entry(settings);
+		entry.logReader.start();
+		entry.fleet.start();
+		entry.dispatcher.start();
+		entry.front.start();
+		LOGGER.info("Entry {} listens for callers on port {}, for peers on port {}, admin on port {}",
+				settings.process(), entry.front.port(), entry.peerServer.port(), entry.admin.port());
+		return entry;
+	}
+
+	private boolean readsFromPeers() {
+		return this.freshness.isStale();
+	}
+
+	private boolean isReady() {
+		return !this.stopping && this.configuration.isPresent() && this.freshness.keysAreFresh();
+	}
+
+	private void onState(ControlState before, ControlState after) {
+		if (before.configuration().equals(after.configuration())) {
+			return;
+		}
+		ParsedConfiguration parsed = ConfigurationParser.parse(after.configuration().text());
+		if (parsed instanceof ParsedConfiguration.Valid valid) {
+			this.configuration = Optional.of(valid.configuration());
+			LOGGER.info("Configuration version {} is in force", after.configuration().versionOffset());
+			return;
+		}
+		this.meters.counter("anvilusher.configuration.unreadable").increment();
+		LOGGER.error("Configuration version {} cannot be read by this release; the one before stays in force",
+				after.configuration().versionOffset());
+	}
+
+	/**
+	 * Finishes the requests in hand and stops.
+	 */
+	public void drain() {
+		this.stopping = true;
+		try {
+			TimeUnit.MILLISECONDS.sleep(this.settings.drainNoticeMs());
+			if (!this.front.drain(this.settings.drainTimeoutMs())) {
+				LOGGER.warn("Requests are in hand after {} ms; stopping all the same", this.settings.drainTimeoutMs());
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		this.front.stop();
+		this.dispatcher.stop();
+		this.logReader.stop();
+		this.fleet.stop();
+		this.peerServer.close();
+		this.admin.close();
+		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+		this.controlThread.close();
+		this.platformClient.close();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/anvilusher/entry/command/KeyGrantCommand.java
@@ -0,0 +1,39 @@
+package io.anvilusher.entry.command;
+
+import java.security.SecureRandom;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+
+import io.anvilusher.adapters.config.ConfigurationParser;
+import io.anvilusher.adapters.config.ParsedConfiguration;
+import io.anvilusher.adapters.control.RecordDecision;
+import io.anvilusher.adapters.process.ExitCode;
+import io.anvilusher.logic.key.KeySecrets;
+import io.anvilusher.logic.key.PresentedKey;
+import io.anvilusher.model.fact.KeyGranted;
+
+/**
+ * Grants a key.
+ */
+@Parameters(commandDescription = "Grants a new key to a workspace and prints it, this once")
+public final class KeyGrantCommand extends PlatformCommand {
+
+	@Parameter(names = "--workspace", required = true, description = "The workspace")
+	private String workspace = "";
+
+	@Override
+	ExitCode run(PlatformSession session) throws InterruptedException {
+		boolean known = ConfigurationParser
+			.parse(session.state().configuration().text()) instanceof ParsedConfiguration.Valid valid
+				&& valid.configuration().workspace(this.workspace).isPresent();
+		if (!known) {
+			System.err.println("The configuration has no workspace \"" + this.workspace + "\"");
+			return ExitCode.INVALID;
+		}
+		PresentedKey key = KeySecrets.generate(new SecureRandom());
+		RecordDecision decision = session.append(new KeyGranted(key.keyId(), this.workspace, KeySecrets.hash(key)));
+		return report(decision, key.reveal(), "Not granted");
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/anvilusher/entry/fleet/EntryPeers.java
@@ -0,0 +1,141 @@
+package io.anvilusher.entry.fleet;
+
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.anvilusher.adapters.control.RecordFeed;
+import io.anvilusher.adapters.control.RecordSubscription;
+import io.anvilusher.entry.claim.ClaimDesk;
+import io.anvilusher.entry.dispatch.AttemptRegistry;
+import io.anvilusher.entry.dispatch.Dispatcher;
+import io.anvilusher.entry.dispatch.ServerDirectory;
+import io.anvilusher.protocol.generated.PeerMessages.Frame;
+import io.anvilusher.protocol.generated.PeerMessages.Withdrawal;
+import io.anvilusher.protocol.transport.PeerConnection;
+import io.anvilusher.protocol.transport.PeerListener;
+
+/**
+ * Hands the frames of sidecars and other entries to the parts that they are for.
+ */
+public final class EntryPeers implements PeerListener {
+
+	/** Role by which a sidecar introduces itself. */
+	public static final String SIDECAR = "sidecar";
+
+	/** Role by which an entry introduces itself. */
+	public static final String ENTRY = "entry";
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(EntryPeers.class);
+
+	private final ServerDirectory directory;
+
+	private final AttemptRegistry registry;
+
+	private final Dispatcher dispatcher;
+
+	private final ClaimDesk claims;
+
+	private final RecordFeed feed;
+
+	private final RecordSubscription subscription;
+
+	private final Consumer<PeerConnection> onSidecarOpen;
+
+	private final Set<String> withdrawnAhead = ConcurrentHashMap.newKeySet();
+
+	private final Set<PeerConnection> entries = ConcurrentHashMap.newKeySet();
+
+	/**
+	 * Creates the dispatch of frames.
+	 * @param directory the backend servers
+	 * @param registry the attempts under way
+	 * @param dispatcher the requests in hand
+	 * @param claims the claims of calls that may not be repeated
+	 * @param feed brings records to others
+	 * @param subscription receives records from others
+	 * @param onSidecarOpen called with each new connection to a sidecar
+	 */
+	public EntryPeers(ServerDirectory directory, AttemptRegistry registry, Dispatcher dispatcher, ClaimDesk claims,
+			RecordFeed feed, RecordSubscription subscription, Consumer<PeerConnection> onSidecarOpen) {
+		this.directory = directory;
+		this.registry = registry;
+		this.dispatcher = dispatcher;
+		this.claims = claims;
+		this.feed = feed;
+		this.subscription = subscription;
+		this.onSidecarOpen = onSidecarOpen;
+	}
+
+	@Override
+	public void onOpen(PeerConnection connection) {
+		if (connection.remote().getRole().equals(SIDECAR)) {
+			this.directory.onOpen(connection);
+			this.onSidecarOpen.accept(connection);
+			return;
+		}
+		this.entries.add(connection);
+		this.subscription.onOpen(connection);
+		this.withdrawnAhead.forEach((keyId) -> connection.send(withdrawal(keyId)));
+	}
+
+	@Override
+	public void onFrame(PeerConnection connection, Frame frame) {
+		if (this.registry.onFrame(connection, frame)) {
+			return;
+		}
+		switch (frame.getBodyCase()) {
+			case SERVER_REPORT -> {
+				this.directory.onReport(connection, frame.getServerReport());
+				this.dispatcher.onServersChanged(frame.getServerReport().getService());
+			}
+			case ATTEMPT_VERDICT -> this.claims.onVerdict(frame.getAttemptVerdict());
+			case RECORDS_REQUEST -> this.feed.onRequest(connection, frame.getRecordsRequest());
+			case RECORDS_REPLY -> this.subscription.onReply(connection, frame.getRecordsReply());
+			case WITHDRAWAL -> withdraw(frame.getWithdrawal().getKeyId());
+			default -> LOGGER.debug("Passing over a frame of kind {}", frame.getBodyCase());
+		}
+	}
+
+	@Override
+	public void onClosed(PeerConnection connection) {
+		this.feed.onClosed(connection);
+		if (connection.remote().getRole().equals(SIDECAR)) {
+			this.directory.onClosed(connection);
+			this.registry.onClosed(connection);
+			return;
+		}
+		this.entries.remove(connection);
+		this.subscription.onClosed(connection);
+	}
+
+	/**
+	 * Stops a key at once, ahead of the log, here and at all other entries. A withdrawal
+	 * is never undone, so it needs no order.
+	 * @param keyId public part of the key
+	 */
+	public void withdraw(String keyId) {
+		if (!this.withdrawnAhead.add(keyId)) {
+			return;
+		}
+		this.dispatcher.onKeyWithdrawn(keyId);
+		this.entries.forEach((entry) -> entry.send(withdrawal(keyId)));
+	}
+
+	/**
+	 * Tells whether a key was withdrawn ahead of the log.
+	 * @param keyId public part of the key
+	 * @return whether it was
+	 */
+	public boolean isWithdrawn(String keyId) {
+		return this.withdrawnAhead.contains(keyId);
+	}
+
+	private static Frame withdrawal(String keyId) {
+		return Frame.newBuilder().setWithdrawal(Withdrawal.newBuilder().setKeyId(keyId)).build();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
@@ -0,0 +1,153 @@
+package io.anvilusher.entry.http;
+
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import org.xnio.Options;
+
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.entry.EntrySettings;
+import io.anvilusher.model.config.Configuration;
+import io.anvilusher.model.request.RefusalReason;
+
+/**
+ * The HTTP interface for callers.
+ */
+public final class HttpFront {
+
+	private static final int IO_THREADS = 4;
+
+	/** Nothing is run on worker threads, so that no caller can hold one. */
+	private static final int WORKER_THREADS = 1;
+
+	private static final int IDLE_CONNECTION_MS = 60_000;
+
+	private static final long QUIET_MS = 300;
+
+	private final Undertow undertow;
+
+	private final FilterChain chain;
+
+	private final Supplier<Optional<Configuration>> configuration;
+
+	private final MonotonicClock clock;
+
+	private final Meters meters;
+
+	private final AtomicInteger inHand = new AtomicInteger();
+
+	private volatile boolean draining;
+
+	private volatile long lastRequestAtMs;
+
+	/**
+	 * Creates the interface; it takes no connections yet.
+	 * @param settings settings of the entry
+	 * @param chain the filters of a request
+	 * @param configuration the configuration in force
+	 * @param clock the clock
+	 * @param meters counts requests
+	 */
+	public HttpFront(EntrySettings settings, FilterChain chain, Supplier<Optional<Configuration>> configuration,
+			MonotonicClock clock, Meters meters) {
+		this.chain = chain;
+		this.configuration = configuration;
+		this.clock = clock;
+		this.meters = meters;
+		InetSocketAddress address = settings.httpAddress();
+		this.undertow = Undertow.builder()
+			.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
+			.setIoThreads(IO_THREADS)
+			.setWorkerThreads(WORKER_THREADS)
+			.setSocketOption(Options.BACKLOG, 4096)
+			.setSocketOption(Options.TCP_NODELAY, true)
+			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeadBytes())
+			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes())
+			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.callerTimeoutMs())
+			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MS)
+			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
+			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
+			.setServerOption(UndertowOptions.DECODE_URL, false)
+			.setSocketOption(Options.WRITE_TIMEOUT, settings.callerTimeoutMs())
+			.setHandler(this::handle)
+			.build();
+		meters.gauge("anvilusher.requests.in.hand", this.inHand, AtomicInteger::get);
+	}
+
+	/**
+	 * Starts to take connections.
+	 */
+	public void start() {
+		this.undertow.start();
+	}
+
+	/**
+	 * Returns the port that callers connect to.
+	 * @return the port
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.undertow.getListenerInfo().get(0).getAddress()).getPort();
+	}
+
+	private void handle(HttpServerExchange http) {
+		this.lastRequestAtMs = this.clock.nowMs();
+		this.inHand.incrementAndGet();
+		http.addExchangeCompleteListener((ended, next) -> {
+			this.inHand.decrementAndGet();
+			next.proceed();
+		});
+		if (this.draining) {
+			http.setPersistent(false);
+			http.getResponseHeaders().put(Headers.CONNECTION, "close");
+		}
+		http.dispatch(SameThreadExecutor.INSTANCE, () -> accept(http));
+	}
+
+	private void accept(HttpServerExchange http) {
+		String requestId = RequestIds.of(http);
+		UndertowAnswerSink sink = new UndertowAnswerSink(http, requestId);
+		Optional<Configuration> current = this.configuration.get();
+		if (current.isEmpty()) {
+			this.meters.refused("", RefusalReason.NO_CONFIGURATION);
+			sink.refuse(RefusalReason.NO_CONFIGURATION, "");
+			return;
+		}
+		this.chain.next(new CallerExchange(http, sink, requestId, current.get(), this.clock.nowMs(), this.meters));
+	}
+
+	/**
+	 * Takes no further connections and waits for the requests in hand.
+	 * @param timeoutMs longest time to wait
+	 * @return whether all requests ended
+	 * @throws InterruptedException if the thread is interrupted
+	 */
+	public boolean drain(long timeoutMs) throws InterruptedException {
+		this.draining = true;
+		long untilMs = this.clock.nowMs() + timeoutMs;
+		this.undertow.getListenerInfo().forEach((listener) -> listener.suspend());
+		while (this.inHand.get() > 0 || this.clock.nowMs() - this.lastRequestAtMs < QUIET_MS) {
+			if (this.clock.nowMs() > untilMs) {
+				return false;
+			}
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+		return true;
+	}
+
+	/**
+	 * Closes all connections.
+	 */
+	public void stop() {
+		this.undertow.stop();
+	}
+
+}
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/admission/FairQueue.java
@@ -0,0 +1,112 @@
+package io.anvilusher.logic.admission;
+
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * A queue that serves urgent work first and, within each class, workspaces by their
+ * weights (start-time fair queueing), so that a workspace that sends much does not hold
+ * up the others. Used from one thread or under a lock.
+ *
+ * @param <T> type of the items
+ */
+public final class FairQueue<T> {
+
+	private final Map<String, Flow<T>> flows = new HashMap<>();
+
+	private double virtualTime;
+
+	private long arrivals;
+
+	private int size;
+
+	/**
+	 * Adds an item.
+	 * @param share the workspace, its weight and class
+	 * @param cost work that the item stands for, in units common to all items
+	 * @param item the item
+	 */
+	public void offer(WorkspaceShare share, double cost, T item) {
+		Flow<T> flow = this.flows.computeIfAbsent(key(share), (key) -> new Flow<>(share.urgent()));
+		double start = Math.max(this.virtualTime, flow.lastFinish);
+		flow.lastFinish = start + cost / share.weight();
+		flow.entries.addLast(new Entry<>(start, this.arrivals++, item));
+		this.size++;
+	}
+
+	/**
+	 * Returns the item to serve next and leaves it in the queue.
+	 * @return the item, or empty if the queue is
+	 */
+	public Optional<T> peek() {
+		return next().map((flow) -> flow.entries.getFirst().item());
+	}
+
+	/**
+	 * Takes the item to serve next out of the queue.
+	 * @return the item, or empty if the queue is
+	 */
+	public Optional<T> poll() {
+		return next().map((flow) -> {
+			Entry<T> entry = flow.entries.removeFirst();
+			this.virtualTime = Math.max(this.virtualTime, entry.start());
+			this.size--;
+			return entry.item();
+		});
+	}
+
+	/**
+	 * Takes items out of the queue.
+	 * @param condition tells which
+	 */
+	public void removeIf(Predicate<T> condition) {
+		this.flows.values().forEach((flow) -> flow.entries.removeIf((entry) -> condition.test(entry.item())));
+		this.flows.values().removeIf((flow) -> flow.entries.isEmpty() && flow.lastFinish <= this.virtualTime);
+		this.size = this.flows.values().stream().mapToInt((flow) -> flow.entries.size()).sum();
+	}
+
+	/**
+	 * Returns the number of items.
+	 * @return the number
+	 */
+	public int size() {
+		return this.size;
+	}
+
+	private Optional<Flow<T>> next() {
+		return this.flows.values()
+			.stream()
+			.filter((flow) -> !flow.entries.isEmpty())
+			.min(Comparator.<Flow<T>, Boolean>comparing((flow) -> !flow.urgent)
+				.thenComparingDouble((flow) -> flow.entries.getFirst().start())
+				.thenComparingLong((flow) -> flow.entries.getFirst().arrival()));
+	}
+
+	private static String key(WorkspaceShare share) {
+		return share.workspace() + (share.urgent() ? "!" : "");
+	}
+
+	private static final class Flow<T> {
+
+		private final boolean urgent;
+
+		private final Deque<Entry<T>> entries = new ArrayDeque<>();
+
+		private double lastFinish;
+
+		Flow(boolean urgent) {
+			this.urgent = urgent;
+		}
+
+	}
+
+	private record Entry<T>(double start, long arrival, T item) {
+
+	}
+
+}
--- a/logic/src/main/java/io/anvilusher/logic/checkpoint/CheckpointAssembler.java
+++ b/logic/src/main/java/io/anvilusher/logic/checkpoint/CheckpointAssembler.java
@@ -1,8 +1,9 @@
 package io.anvilusher.logic.checkpoint;
 
-import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -41,9 +42,10 @@
 		if (this.newest.filter((known) -> known.throughOffset() >= throughOffset).isPresent()) {
 			return;
 		}
-		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-		chunks.values().forEach((chunk) -> bytes.writeBytes(Base64.getDecoder().decode(chunk.data())));
-		this.newest = Optional.of(new Checkpoint(throughOffset, bytes.toByteArray()));
+		List<byte[]> parts = chunks.values().stream().map((chunk) -> Base64.getDecoder().decode(chunk.data())).toList();
+		ByteBuffer bytes = ByteBuffer.allocate(parts.stream().mapToInt((part) -> part.length).sum());
+		parts.forEach(bytes::put);
+		this.newest = Optional.of(new Checkpoint(throughOffset, bytes.array()));
 	}
 
 	/**
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -55,7 +55,7 @@
 
 	private final ControlFollower follower = new ControlFollower(this.controlThread, MonotonicClock.SYSTEM);
 
-	private final RecordSubscription subscription = new RecordSubscription(this.follower);
+	private final RecordSubscription subscription = new RecordSubscription(this.follower, () -> true);
 
 	private final ServerGate gate = new ServerGate();
 
@@ -150,9 +150,12 @@
 	}
 
 	private void onVmNotice(VmNotice notice) {
-		boolean leaving = notice.getLeavingVmsList().contains(this.settings.server());
-		this.gate.setLeaving(leaving);
-		this.reporter.onChange();
+		// A VM that is leaving does not stay, so a list that lacks it is only an older
+		// one.
+		if (notice.getLeavingVmsList().contains(this.settings.server())) {
+			this.gate.setLeaving();
+			this.reporter.onChange();
+		}
 	}
 
 	@Override
--- a/sidecar/src/main/java/io/anvilusher/sidecar/attempt/AttemptHandler.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/AttemptHandler.java
@@ -55,7 +55,7 @@
 	 * @param clock the clock that start limits are checked against
 	 * @param gate decides whether the server takes an attempt
 	 * @param client calls the backend server
-	 * @param backend HTTP interface of the backend server
+	 * @param backend the HTTP interface of the backend server
 	 * @param meters counts refusals
 	 * @param endListener learns of the end of each attempt
 	 */
--- a/sidecar/src/main/java/io/anvilusher/sidecar/attempt/RunningAttempt.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/RunningAttempt.java
@@ -54,6 +54,9 @@
 
 	private volatile @Nullable RunningCall call;
 
+	private volatile Runnable deadline = () -> {
+	};
+
 	private Optional<AttemptFailure> brokenOffFor = Optional.empty();
 
 	private int status;
@@ -87,7 +90,13 @@
 		RunningCall running = client.start(new HttpCall(this.start.getMethod(), backend, this.start.getPath(),
 				sentHeaders, this.start.getBody().toByteArray(), !this.start.getRepeatable()), this);
 		this.call = running;
-		client.after(this.start.getDeadlineMs(), () -> breakOff(AttemptFailure.TIMED_OUT));
+		this.deadline = client.after(this.start.getDeadlineMs(), () -> breakOff(AttemptFailure.TIMED_OUT));
+		synchronized (this) {
+			if (this.brokenOffFor.isEmpty()) {
+				return;
+			}
+		}
+		running.cancel();
 	}
 
 	AttemptStart start() {
@@ -224,6 +233,7 @@
 			}
 			this.ended = true;
 		}
+		this.deadline.run();
 		// The outcome is noted before it is told, so that a question after the answer
 		// finds it.
 		this.onEnded.accept(new Ended(this, verdict, failure));
--- a/sidecar/src/main/java/io/anvilusher/sidecar/attempt/ServerGate.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/ServerGate.java
@@ -131,11 +131,10 @@
 	}
 
 	/**
-	 * Sets whether the server's VM is leaving.
-	 * @param value whether it is
+	 * Refuses all further attempts, because the server's VM is leaving.
 	 */
-	public synchronized void setLeaving(boolean value) {
-		this.leaving = value;
+	public synchronized void setLeaving() {
+		this.leaving = true;
 	}
 
 	/**
