--- a/adapters/src/main/java/io/anvilusher/adapters/config/ConfigurationParser.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/config/ConfigurationParser.java
@@ -17,6 +17,7 @@
 import io.anvilusher.adapters.json.Problem;
 import io.anvilusher.model.config.Configuration;
 import io.anvilusher.model.config.DataCentre;
+import io.anvilusher.model.config.EngineSpec;
 import io.anvilusher.model.config.LogOutagePolicy;
 import io.anvilusher.model.config.RouteSpec;
 import io.anvilusher.model.config.ScaleSpec;
@@ -32,8 +33,6 @@
 
 	private static final Targets DEFAULT_TARGETS = new Targets(1000, 30, 60_000);
 
-	private static final ScaleSpec DEFAULT_SCALE = new ScaleSpec(0, 1000, 1);
-
 	private static final int MAX_MS = 3_600_000;
 
 	private final List<Problem> problems = new ArrayList<>();
@@ -98,7 +97,8 @@
 				reader.choice("when_log_is_out",
 						Map.of("refuse", LogOutagePolicy.REFUSE, "run_unclaimed", LogOutagePolicy.RUN_UNCLAIMED),
 						LogOutagePolicy.REFUSE),
-				reader.object("scale", this::readScale).orElse(DEFAULT_SCALE));
+				reader.object("scale", this::readScale).orElse(ScaleSpec.UNMANAGED),
+				reader.object("engine", this::readEngine));
 		if (kind == ServiceKind.MODEL && service.models().isEmpty()) {
 			reader.problem("models", "a model service names its \"models\"");
 		}
@@ -131,10 +131,15 @@
 				reader.wholeNumber("deadline_ms", 1, MAX_MS, DEFAULT_TARGETS.deadlineMs()));
 	}
 
+	private EngineSpec readEngine(ObjectReader reader) {
+		return new EngineSpec(reader.text("version"), reader.optionalText("adapter").orElse(""));
+	}
+
 	private ScaleSpec readScale(ObjectReader reader) {
-		ScaleSpec scale = new ScaleSpec((int) reader.wholeNumber("min_servers", 0, 100_000, DEFAULT_SCALE.minServers()),
-				(int) reader.wholeNumber("max_servers", 0, 100_000, DEFAULT_SCALE.maxServers()),
-				reader.number("goodput_weight", 0, 1000, DEFAULT_SCALE.goodputWeight()));
+		ScaleSpec scale = new ScaleSpec(
+				(int) reader.wholeNumber("min_servers", 0, 100_000, ScaleSpec.UNMANAGED.minServers()),
+				(int) reader.wholeNumber("max_servers", 0, 100_000, ScaleSpec.UNMANAGED.maxServers()),
+				reader.number("goodput_weight", 0, 1000, ScaleSpec.UNMANAGED.goodputWeight()));
 		if (scale.maxServers() < scale.minServers()) {
 			reader.problem("max_servers", "\"max_servers\" is below \"min_servers\"");
 		}
--- /dev/null
+++ b/adapters/src/test/java/io/anvilusher/adapters/control/ControlFollowerTests.java
@@ -0,0 +1,137 @@
+package io.anvilusher.adapters.control;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.anvilusher.adapters.platform.PlatformLog.RawRecord;
+import io.anvilusher.logic.checkpoint.CheckpointWriter;
+import io.anvilusher.logic.fold.ControlState;
+import io.anvilusher.model.fact.CheckpointChunk;
+import io.anvilusher.model.fact.Fact;
+import io.anvilusher.model.fact.KeyGranted;
+import io.anvilusher.model.fact.KeyWithdrawn;
+import io.anvilusher.model.fact.LogRecord;
+import io.anvilusher.proofs.Fault;
+import io.anvilusher.proofs.Promise;
+import io.anvilusher.proofs.Proves;
+import io.anvilusher.proofs.Step;
+import io.anvilusher.protocol.codec.RecordCodec;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class ControlFollowerTests {
+
+	private final List<RawRecord> log = new ArrayList<>();
+
+	private long nowMs;
+
+	private ControlFollower follower;
+
+	@BeforeMethod
+	public void emptyLog() {
+		this.log.clear();
+		this.nowMs = 1000;
+		this.follower = newFollower();
+	}
+
+	private ControlFollower newFollower() {
+		return new ControlFollower(new ControlThread(), () -> this.nowMs);
+	}
+
+	private void append(Fact fact) {
+		this.log.add(new RawRecord(this.log.size() + 1,
+				RecordCodec.encode(new LogRecord("r" + this.log.size(), "w", fact))));
+	}
+
+	private boolean read(ControlFollower reader, long earliest) {
+		List<RawRecord> kept = this.log.stream().filter((raw) -> raw.offset() >= earliest).toList();
+		return reader.offer(kept, earliest, this.log.size(), this.nowMs);
+	}
+
+	@Test
+	public void stateIsFoldedToTheEndAndFresh() {
+		append(new KeyGranted("k", "w", "h"));
+		assertTrue(read(this.follower, 1));
+		this.nowMs += 70;
+		assertEquals(this.follower.ageMs(), 70);
+		assertEquals(this.follower.state().appliedOffset(), 1);
+	}
+
+	@Test
+	@Proves(promise = Promise.CONFIGURATION_IN_FORCE, fault = Fault.PARTITION, step = Step.CONFIG_APPLY)
+	public void olderSnapshotOfAPeerIsNotTakenOver() {
+		append(new KeyGranted("k", "w", "h"));
+		ControlFollower behind = newFollower();
+		read(behind, 1);
+		append(new KeyWithdrawn("k"));
+		read(this.follower, 1);
+		this.follower.adopt(behind.state());
+		assertTrue(this.follower.state().keys().find("k").orElseThrow().withdrawn());
+	}
+
+	@Test
+	@Proves(promise = Promise.CONFIGURATION_IN_FORCE, fault = Fault.LOG_OUTAGE, step = Step.CHECKPOINT)
+	public void coldStartAfterRetentionUsesTheCheckpoint() {
+		append(new KeyGranted("k", "w", "h"));
+		append(new KeyGranted("k2", "w", "h"));
+		read(this.follower, 1);
+		checkpoint(this.follower.state());
+		append(new KeyWithdrawn("k"));
+		ControlFollower cold = newFollower();
+		assertTrue(read(cold, 3));
+		read(this.follower, 1);
+		assertEquals(RecordCodec.encodeState(cold.state()), RecordCodec.encodeState(this.follower.state()));
+	}
+
+	@Test
+	public void coldStartWithoutAWholeCheckpointWaits() {
+		append(new KeyGranted("k", "w", "h"));
+		append(new KeyGranted("k2", "w", "h"));
+		assertFalse(read(newFollower(), 2));
+	}
+
+	@Test
+	public void recordsBehindAGapAreNotFolded() {
+		append(new KeyGranted("k", "w", "h"));
+		append(new KeyGranted("k2", "w", "h"));
+		this.follower.offer(List.of(this.log.get(1)), 1, 2, this.nowMs);
+		assertEquals(this.follower.state().appliedOffset(), 0);
+		assertEquals(this.follower.ageMs(), Long.MAX_VALUE);
+	}
+
+	@Test
+	@Proves(promise = Promise.CONFIGURATION_IN_FORCE, fault = Fault.LATE_MESSAGE, step = Step.CONFIG_APPEND)
+	public void logThatEndsEarlierThanItDidKeepsTheState() {
+		append(new KeyGranted("k", "w", "h"));
+		append(new KeyWithdrawn("k"));
+		read(this.follower, 1);
+		this.nowMs += 500;
+		this.follower.offer(List.of(this.log.get(0)), 1, 1, this.nowMs);
+		assertTrue(this.follower.regressed());
+		assertTrue(this.follower.state().keys().find("k").orElseThrow().withdrawn());
+		assertEquals(this.follower.ageMs(), 500);
+	}
+
+	@Test
+	public void recordOfANewerReleaseIsPassedOver() {
+		this.log.add(new RawRecord(1,
+				"{\"id\":\"x\",\"writer\":\"w\",\"fact\":{\"fact\":\"Unheard\"}}".getBytes(StandardCharsets.UTF_8)));
+		append(new KeyGranted("k", "w", "h"));
+		read(this.follower, 1);
+		assertEquals(this.follower.state().appliedOffset(), 2);
+		assertEquals(this.follower.unreadableRecords(), 1);
+	}
+
+	private void checkpoint(ControlState state) {
+		List<CheckpointChunk> chunks = CheckpointWriter.cut("c", "l", 1, state.appliedOffset(),
+				RecordCodec.encodeState(state));
+		chunks.forEach(this::append);
+	}
+
+}
--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -24,10 +24,13 @@
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.platform.HttpPlatformLog;
 import io.anvilusher.adapters.platform.PlatformLog;
+import io.anvilusher.adapters.platform.ServerOrdering;
+import io.anvilusher.adapters.platform.UsageReports;
 import io.anvilusher.adapters.platform.VmList;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.adapters.process.ProcessIdentity;
 import io.anvilusher.entry.claim.ClaimDesk;
+import io.anvilusher.entry.controller.ControlPlane;
 import io.anvilusher.entry.dispatch.AttemptRegistry;
 import io.anvilusher.entry.dispatch.Dispatcher;
 import io.anvilusher.entry.dispatch.ServerDirectory;
@@ -55,6 +58,9 @@
 
 	private static final long PLATFORM_TIMEOUT_MS = 2000;
 
+	/** Time for the last counts to leave. */
+	private static final long LINGER_MS = 300;
+
 	private final EntrySettings settings;
 
 	private final ProcessIdentity identity;
@@ -80,6 +86,8 @@
 
 	private final FleetWatcher fleet;
 
+	private final ControlPlane plane;
+
 	private final HttpFront front;
 
 	private final PeerServer peerServer;
@@ -101,25 +109,34 @@
 		RecordSubscription subscription = new RecordSubscription(this.follower, this::readsFromPeers);
 		AttemptRegistry registry = new AttemptRegistry(this.meters);
 		ClaimDesk claims = new ClaimDesk(this.follower, appender, this.directory);
-		this.dispatcher = new Dispatcher(this.directory, registry, claims, this.follower, new UsageMeter(),
-				this.meters);
+		UsageMeter usage = new UsageMeter();
+		this.dispatcher = new Dispatcher(this.directory, registry, claims, this.follower, usage, this.meters);
 		EntryPeers peers = new EntryPeers(this.directory, registry, this.dispatcher, claims, feed, subscription,
+				(flush) -> this.plane().onUsageFlush(flush),
 				(connection) -> this.controlThread.run(() -> this.fleet().notifyLeaving(connection)));
 		Hello hello = hello();
 		this.fleet = new FleetWatcher(settings.process(),
 				new VmList(platform, settings.platform(), PLATFORM_TIMEOUT_MS), this.directory, this.controlThread,
 				(address) -> PeerLink.open(this.group, address, hello, PeerTiming.DEFAULT, peers));
+		this.plane = new ControlPlane(this.identity, this.follower, appender, () -> this.configuration,
+				settings.control(), this.fleet, this.directory, usage,
+				new ServerOrdering(platform, settings.platform(), PLATFORM_TIMEOUT_MS),
+				new UsageReports(platform, settings.platform(), PLATFORM_TIMEOUT_MS), peers::entry);
 		this.freshness = new ControlFreshness(this.follower, subscription, this.fleet::hasOtherEntries);
 		this.follower.addListener(this::onState);
 		this.front = new HttpFront(settings, RequestFilters.chain(settings, () -> this.follower.state().keys(),
 				peers::isWithdrawn, this.freshness, this.dispatcher), () -> this.configuration, MonotonicClock.SYSTEM,
 				this.meters);
 		this.peerServer = PeerServer.start(this.group, settings.peerAddress(), hello, PeerTiming.DEFAULT, peers);
-		this.admin = AdminServer.start(settings.adminAddress(), this.meters, this::isReady,
-				() -> EntryStatus.write(this.identity, this.follower, this.directory, this.dispatcher, this.fleet));
+		this.admin = AdminServer.start(settings.adminAddress(), this.meters, this::isReady, () -> EntryStatus
+			.write(this.identity, this.follower, this.directory, this.dispatcher, this.fleet, this.plane));
 		subscription.start();
 	}
 
+	private ControlPlane plane() {
+		return this.plane;
+	}
+
 	private FleetWatcher fleet() {
 		return this.fleet;
 	}
@@ -164,6 +181,7 @@
 		ParsedConfiguration parsed = ConfigurationParser.parse(after.configuration().text());
 		if (parsed instanceof ParsedConfiguration.Valid valid) {
 			this.configuration = Optional.of(valid.configuration());
+			this.plane.onConfiguration();
 			LOGGER.info("Configuration version {} is in force", after.configuration().versionOffset());
 			return;
 		}
@@ -179,9 +197,12 @@
 		this.stopping = true;
 		try {
 			TimeUnit.MILLISECONDS.sleep(this.settings.drainNoticeMs());
+			this.controlThread.run(this.plane::stop);
 			if (!this.front.drain(this.settings.drainTimeoutMs())) {
 				LOGGER.warn("Requests are in hand after {} ms; stopping all the same", this.settings.drainTimeoutMs());
 			}
+			this.controlThread.run(this.plane::flushUsage);
+			TimeUnit.MILLISECONDS.sleep(LINGER_MS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/entry/src/main/java/io/anvilusher/entry/EntrySettings.java
+++ b/entry/src/main/java/io/anvilusher/entry/EntrySettings.java
@@ -5,6 +5,8 @@
 
 import io.anvilusher.adapters.json.ObjectReader;
 import io.anvilusher.adapters.process.SocketAddresses;
+import io.anvilusher.entry.controller.ControlPlane.ControlSettings;
+import io.anvilusher.logic.lease.LeaseTiming;
 
 /**
  * Settings of an entry.
@@ -21,10 +23,11 @@
  * @param drainNoticeMs time between turning unready and closing the listener, for the
  * balancer to notice
  * @param drainTimeoutMs longest time to finish the work in hand after SIGTERM
+ * @param control times of the controllers
  */
 public record EntrySettings(String process, String dataCentre, InetSocketAddress httpAddress,
 		InetSocketAddress peerAddress, InetSocketAddress adminAddress, URI platform, long maxBodyBytes,
-		int maxHeadBytes, int callerTimeoutMs, long drainNoticeMs, long drainTimeoutMs) {
+		int maxHeadBytes, int callerTimeoutMs, long drainNoticeMs, long drainTimeoutMs, ControlSettings control) {
 
 	private static final long DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -36,6 +39,11 @@
 
 	private static final long MAX_MS = 86_400_000;
 
+	private static final long RENEWALS_PER_LEASE = 3;
+
+	private static final ControlSettings DEFAULT_CONTROL = new ControlSettings(new LeaseTiming(6000, 2000, 1000, 0.01),
+			900_000, 5000, 60_000, MAX_MS, 600_000, 120_000);
+
 	/**
 	 * Reads settings.
 	 * @param reader the settings file's object
@@ -49,7 +57,22 @@
 				(int) reader.wholeNumber("max_head_bytes", 1024, 1024 * 1024, DEFAULT_MAX_HEAD_BYTES),
 				(int) reader.wholeNumber("caller_timeout_ms", 100, MAX_MS, DEFAULT_CALLER_TIMEOUT_MS),
 				reader.wholeNumber("drain_notice_ms", 0, MAX_MS, 2000),
-				reader.wholeNumber("drain_timeout_ms", 0, MAX_MS, 600_000));
+				reader.wholeNumber("drain_timeout_ms", 0, MAX_MS, 600_000),
+				reader.object("control", EntrySettings::readControl).orElse(DEFAULT_CONTROL));
+	}
+
+	private static ControlSettings readControl(ObjectReader reader) {
+		LeaseTiming lease = DEFAULT_CONTROL.leaseTiming();
+		long leaseMs = reader.wholeNumber("lease_ms", 200, MAX_MS, lease.durationMs());
+		return new ControlSettings(
+				new LeaseTiming(leaseMs, leaseMs / RENEWALS_PER_LEASE,
+						reader.wholeNumber("lease_margin_ms", 0, MAX_MS, lease.marginMs()), lease.maxDriftShare()),
+				reader.wholeNumber("checkpoint_interval_ms", 100, MAX_MS, DEFAULT_CONTROL.checkpointIntervalMs()),
+				reader.wholeNumber("checkpoint_records", 10, 1_000_000, DEFAULT_CONTROL.checkpointRecords()),
+				reader.wholeNumber("usage_window_ms", 100, MAX_MS, DEFAULT_CONTROL.usageWindowMs()),
+				reader.wholeNumber("idempotency_retention_ms", 1000, MAX_MS, DEFAULT_CONTROL.idempotencyRetentionMs()),
+				reader.wholeNumber("shrink_after_ms", 0, MAX_MS, DEFAULT_CONTROL.shrinkAfterMs()),
+				reader.wholeNumber("scale_settle_ms", 0, MAX_MS, DEFAULT_CONTROL.scaleSettleMs()));
 	}
 
 }
--- a/entry/src/main/java/io/anvilusher/entry/EntryStatus.java
+++ b/entry/src/main/java/io/anvilusher/entry/EntryStatus.java
@@ -7,6 +7,7 @@
 
 import io.anvilusher.adapters.control.ControlFollower;
 import io.anvilusher.adapters.process.ProcessIdentity;
+import io.anvilusher.entry.controller.ControlPlane;
 import io.anvilusher.entry.dispatch.Dispatcher;
 import io.anvilusher.entry.dispatch.ServerDirectory;
 import io.anvilusher.entry.fleet.FleetWatcher;
@@ -22,7 +23,7 @@
 	}
 
 	static String write(ProcessIdentity identity, ControlFollower follower, ServerDirectory directory,
-			Dispatcher dispatcher, FleetWatcher fleet) {
+			Dispatcher dispatcher, FleetWatcher fleet, ControlPlane plane) {
 		ObjectNode root = MAPPER.createObjectNode();
 		root.put("process", identity.name());
 		root.put("data_centre", identity.dataCentre());
@@ -32,6 +33,7 @@
 		root.put("configuration_version", follower.state().configuration().versionOffset());
 		root.put("keys", follower.state().keys().byId().size());
 		root.put("active_requests", dispatcher.activeRequests());
+		root.put("holds_lease", plane.holdsLease());
 		root.put("vms", fleet.vms().size());
 		ArrayNode servers = root.putArray("servers");
 		directory.status().forEach((server) -> {
--- /dev/null
+++ b/entry/src/main/java/io/anvilusher/entry/controller/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The controllers that act for a region, in the one entry that holds the region's lease.
+ */
+@NullMarked
+package io.anvilusher.entry.controller;
+
+import org.jspecify.annotations.NullMarked;
--- a/entry/src/main/java/io/anvilusher/entry/fleet/EntryPeers.java
+++ b/entry/src/main/java/io/anvilusher/entry/fleet/EntryPeers.java
@@ -1,5 +1,6 @@
 package io.anvilusher.entry.fleet;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -14,6 +15,7 @@
 import io.anvilusher.entry.dispatch.Dispatcher;
 import io.anvilusher.entry.dispatch.ServerDirectory;
 import io.anvilusher.protocol.generated.PeerMessages.Frame;
+import io.anvilusher.protocol.generated.PeerMessages.UsageFlush;
 import io.anvilusher.protocol.generated.PeerMessages.Withdrawal;
 import io.anvilusher.protocol.transport.PeerConnection;
 import io.anvilusher.protocol.transport.PeerListener;
@@ -43,6 +45,8 @@
 
 	private final RecordSubscription subscription;
 
+	private final Consumer<UsageFlush> onUsageFlush;
+
 	private final Consumer<PeerConnection> onSidecarOpen;
 
 	private final Set<String> withdrawnAhead = ConcurrentHashMap.newKeySet();
@@ -57,16 +61,19 @@
 	 * @param claims the claims of calls that may not be repeated
 	 * @param feed brings records to others
 	 * @param subscription receives records from others
+	 * @param onUsageFlush takes in the counts of other entries
 	 * @param onSidecarOpen called with each new connection to a sidecar
 	 */
 	public EntryPeers(ServerDirectory directory, AttemptRegistry registry, Dispatcher dispatcher, ClaimDesk claims,
-			RecordFeed feed, RecordSubscription subscription, Consumer<PeerConnection> onSidecarOpen) {
+			RecordFeed feed, RecordSubscription subscription, Consumer<UsageFlush> onUsageFlush,
+			Consumer<PeerConnection> onSidecarOpen) {
 		this.directory = directory;
 		this.registry = registry;
 		this.dispatcher = dispatcher;
 		this.claims = claims;
 		this.feed = feed;
 		this.subscription = subscription;
+		this.onUsageFlush = onUsageFlush;
 		this.onSidecarOpen = onSidecarOpen;
 	}
 
@@ -95,6 +102,7 @@
 			case ATTEMPT_VERDICT -> this.claims.onVerdict(frame.getAttemptVerdict());
 			case RECORDS_REQUEST -> this.feed.onRequest(connection, frame.getRecordsRequest());
 			case RECORDS_REPLY -> this.subscription.onReply(connection, frame.getRecordsReply());
+			case USAGE_FLUSH -> this.onUsageFlush.accept(frame.getUsageFlush());
 			case WITHDRAWAL -> withdraw(frame.getWithdrawal().getKeyId());
 			default -> LOGGER.debug("Passing over a frame of kind {}", frame.getBodyCase());
 		}
@@ -134,6 +142,17 @@
 		return this.withdrawnAhead.contains(keyId);
 	}
 
+	/**
+	 * Finds the connection to another entry.
+	 * @param incarnation incarnation of the entry
+	 * @return the connection, or empty if there is none
+	 */
+	public Optional<PeerConnection> entry(String incarnation) {
+		return this.entries.stream()
+			.filter((connection) -> connection.remote().getIncarnation().equals(incarnation))
+			.findFirst();
+	}
+
 	private static Frame withdrawal(String keyId) {
 		return Frame.newBuilder().setWithdrawal(Withdrawal.newBuilder().setKeyId(keyId)).build();
 	}
--- a/logic/src/main/java/io/anvilusher/logic/fold/OrderState.java
+++ b/logic/src/main/java/io/anvilusher/logic/fold/OrderState.java
@@ -59,8 +59,8 @@
 		if (orders.lastOffset() != fact.basedOnOffset()) {
 			return Folded.refused(this, Verdict.STALE_BASE);
 		}
-		EngineOrder order = new EngineOrder(fact.orderId(), fact.lease(), fact.term(), fact.server(), fact.target(),
-				"");
+		EngineOrder order = new EngineOrder(fact.orderId(), fact.lease(), fact.term(), offset, fact.server(),
+				fact.target(), "");
 		return Folded.accepted(with(fact.server(), orders.opened(offset, order)));
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/routing/PrefixAffinePicker.java
+++ b/logic/src/main/java/io/anvilusher/logic/routing/PrefixAffinePicker.java
@@ -66,8 +66,13 @@
 	}
 
 	private ServerLoad lessBusyOfTwo(List<ServerLoad> free) {
-		ServerLoad first = free.get(this.random.nextInt(free.size()));
-		ServerLoad second = free.get(this.random.nextInt(free.size()));
+		int firstIndex = this.random.nextInt(free.size());
+		ServerLoad first = free.get(firstIndex);
+		if (free.size() == 1) {
+			return first;
+		}
+		int step = 1 + this.random.nextInt(free.size() - 1);
+		ServerLoad second = free.get((firstIndex + step) % free.size());
 		return (LoadEstimate.utilization(second) < LoadEstimate.utilization(first)) ? second : first;
 	}
 
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/scale/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides how many backend servers a fleet has.
+ */
+@NullMarked
+package io.anvilusher.logic.scale;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/usage/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Decides which counts a usage window contains.
+ */
+@NullMarked
+package io.anvilusher.logic.usage;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/logic/src/test/java/io/anvilusher/logic/fold/FoldTesting.java
@@ -0,0 +1,31 @@
+package io.anvilusher.logic.fold;
+
+import io.anvilusher.model.fact.Fact;
+import io.anvilusher.model.fact.LogRecord;
+import io.anvilusher.model.fact.OffsetRecord;
+
+/** A log in memory that folds what is appended. */
+public final class FoldTesting {
+
+	private ControlState state = ControlState.EMPTY;
+
+	public Verdict append(Fact fact) {
+		return append("id-" + this.state.appliedOffset(), fact);
+	}
+
+	public Verdict append(String recordId, Fact fact) {
+		Folded<ControlState> folded = this.state
+			.apply(new OffsetRecord(this.state.appliedOffset() + 1, new LogRecord(recordId, "test", fact)));
+		this.state = folded.state();
+		return folded.verdict();
+	}
+
+	public ControlState state() {
+		return this.state;
+	}
+
+	public long offset() {
+		return this.state.appliedOffset();
+	}
+
+}
--- a/model/src/main/java/io/anvilusher/model/config/ScaleSpec.java
+++ b/model/src/main/java/io/anvilusher/model/config/ScaleSpec.java
@@ -9,4 +9,15 @@
  */
 public record ScaleSpec(int minServers, int maxServers, double goodputWeight) {
 
+	/** A fleet that the operator sizes by hand. */
+	public static final ScaleSpec UNMANAGED = new ScaleSpec(0, 0, 1);
+
+	/**
+	 * Tells whether the system orders and releases the servers of the fleet.
+	 * @return whether it does; not while no server is allowed at all
+	 */
+	public boolean isManaged() {
+		return this.maxServers > 0;
+	}
+
 }
--- a/model/src/main/java/io/anvilusher/model/config/ServiceSpec.java
+++ b/model/src/main/java/io/anvilusher/model/config/ServiceSpec.java
@@ -15,10 +15,11 @@
  * @param maxConcurrentPerServer calls that one backend server runs at once
  * @param whenLogIsOut what happens to calls that need a claim while the log takes none
  * @param scale limits of its fleet
+ * @param engine what its engines shall load; empty leaves them as they are
  */
 public record ServiceSpec(String name, ServiceKind kind, List<String> models, List<RouteSpec> routes,
 		List<String> dependsOn, Targets targets, int maxConcurrentPerServer, LogOutagePolicy whenLogIsOut,
-		ScaleSpec scale) {
+		ScaleSpec scale, Optional<EngineSpec> engine) {
 
 	public ServiceSpec {
 		models = List.copyOf(models);
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -12,11 +12,13 @@
 import io.anvilusher.adapters.config.ParsedConfiguration;
 import io.anvilusher.adapters.control.ControlFollower;
 import io.anvilusher.adapters.control.ControlThread;
+import io.anvilusher.adapters.control.RecordAppender;
 import io.anvilusher.adapters.control.RecordSubscription;
 import io.anvilusher.adapters.http.HttpCaller;
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.platform.HttpPlatformLog;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.adapters.process.ProcessIdentity;
 import io.anvilusher.logic.fold.ControlState;
@@ -30,6 +32,8 @@
 import io.anvilusher.protocol.transport.PeerTiming;
 import io.anvilusher.sidecar.attempt.AttemptHandler;
 import io.anvilusher.sidecar.attempt.ServerGate;
+import io.anvilusher.sidecar.order.EngineClient;
+import io.anvilusher.sidecar.order.OrderExecutor;
 
 /**
  * A running sidecar.
@@ -42,6 +46,8 @@
 
 	private static final int CLIENT_THREADS = 2;
 
+	private static final long PLATFORM_TIMEOUT_MS = 2000;
+
 	/** Time for entries to learn of a drain before the last connection is closed. */
 	private static final long LINGER_MS = 200;
 
@@ -63,10 +69,14 @@
 
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(NETTY_THREADS, NioIoHandler.newFactory());
 
+	private final StreamingHttpClient platformClient = StreamingHttpClient.create("platform", 1);
+
 	private final ServerReporter reporter;
 
 	private final AttemptHandler attempts;
 
+	private final OrderExecutor orders;
+
 	private final PeerServer peers;
 
 	private final AdminServer admin;
@@ -77,6 +87,7 @@
 		this.reporter = new ServerReporter(settings, this.identity, this.follower, this.gate);
 		this.attempts = new AttemptHandler(this.identity, MonotonicClock.SYSTEM, this.gate, this.client,
 				settings.backend(), this.meters, (start, failure, running) -> this.reporter.onChange());
+		this.orders = orderExecutor();
 		this.follower.addListener(this::onState);
 		Hello hello = Hello.newBuilder()
 			.setProcess(settings.process())
@@ -91,6 +102,15 @@
 				this::status);
 	}
 
+	private OrderExecutor orderExecutor() {
+		HttpPlatformLog log = new HttpPlatformLog(new HttpCaller(this.platformClient), this.settings.platform(),
+				PLATFORM_TIMEOUT_MS);
+		RecordAppender appender = new RecordAppender(log, this.follower, this.identity.incarnation(), this.meters);
+		return new OrderExecutor(this.settings.server(), this.identity.incarnation(), this.follower, appender,
+				new EngineClient(new HttpCaller(this.client), this.settings.backend()), this.gate,
+				this.reporter::onChange);
+	}
+
 	/**
 	 * Starts a sidecar.
 	 * @param settings its settings
@@ -100,6 +120,7 @@
 		Sidecar sidecar = new Sidecar(settings);
 		sidecar.subscription.start();
 		sidecar.reporter.start();
+		sidecar.orders.start();
 		new BackendProbe(new HttpCaller(sidecar.client), settings, sidecar.gate, sidecar.reporter::onChange)
 			.start(sidecar.controlThread);
 		LOGGER.info("Sidecar {} of server {} listens on port {}, admin on port {}", settings.process(),
@@ -184,6 +205,7 @@
 		this.admin.close();
 		this.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
 		this.client.close();
+		this.platformClient.close();
 		this.controlThread.close();
 	}
 
--- a/sidecar/src/main/java/io/anvilusher/sidecar/SidecarMain.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/SidecarMain.java
@@ -11,6 +11,7 @@
 import io.anvilusher.adapters.process.ExitCode;
 import io.anvilusher.adapters.process.GracefulShutdown;
 import io.anvilusher.adapters.process.SettingsFile;
+import io.anvilusher.adapters.process.SocketAddresses;
 
 /**
  * The binary {@code anvilusher-sidecar}.
@@ -49,6 +50,12 @@
 			if (read.isEmpty()) {
 				return ExitCode.INVALID;
 			}
+			Optional<ServerLock> lock = ServerLock.acquire(read.get().lockAddress());
+			if (lock.isEmpty()) {
+				System.err.println("Another sidecar of server " + read.get().server() + " holds "
+						+ SocketAddresses.format(read.get().lockAddress()));
+				return ExitCode.CONFLICT;
+			}
 			Sidecar sidecar = Sidecar.start(read.get());
 			GracefulShutdown.await(sidecar::drain);
 			return ExitCode.OK;
--- a/sidecar/src/main/java/io/anvilusher/sidecar/attempt/ServerGate.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/ServerGate.java
@@ -148,9 +148,12 @@
 	/**
 	 * Sets whether the engine is being changed by an order.
 	 * @param value whether it is
+	 * @return whether that is a change
 	 */
-	public synchronized void setChanging(boolean value) {
+	public synchronized boolean setChanging(boolean value) {
+		boolean changed = this.changing != value;
 		this.changing = value;
+		return changed;
 	}
 
 	/**
