--- a/adapters/src/main/java/io/anvilusher/adapters/control/ControlFollower.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/ControlFollower.java
@@ -1,13 +1,13 @@
 package io.anvilusher.adapters.control;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -36,7 +36,7 @@
 
 	private final MonotonicClock clock;
 
-	private final List<ControlListener> listeners = new ArrayList<>();
+	private final List<ControlListener> listeners = new CopyOnWriteArrayList<>();
 
 	private final Deque<RawRecord> recent = new ArrayDeque<>();
 
@@ -63,7 +63,7 @@
 	}
 
 	/**
-	 * Adds a listener, before the first record is folded.
+	 * Adds a listener, which learns of the changes from now on.
 	 * @param listener the listener
 	 */
 	public void addListener(ControlListener listener) {
--- a/adapters/src/main/java/io/anvilusher/adapters/process/CommandLine.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/CommandLine.java
@@ -2,10 +2,12 @@
 
 import java.io.PrintStream;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterDescription;
 import com.beust.jcommander.ParameterException;
 
 /**
@@ -76,6 +78,12 @@
 			usage(parsed, this.out);
 			return ExitCode.OK;
 		}
+		List<String> missing = missingOptions(parsed);
+		if (!missing.isEmpty()) {
+			this.err.println(this.program + " " + name + ": missing " + String.join(", ", missing));
+			this.err.println("Try '" + this.program + " " + name + " --help'.");
+			return ExitCode.USAGE;
+		}
 		return this.commands.get(name).run();
 	}
 
@@ -94,6 +102,16 @@
 		return joined;
 	}
 
+	// JCommander takes an option with a default value for given, even a required one.
+	private static List<String> missingOptions(JCommander parsed) {
+		return parsed.getParameters()
+			.stream()
+			.filter((option) -> option.getParameter().required() && !option.isAssigned())
+			.map(ParameterDescription::getLongestName)
+			.sorted()
+			.toList();
+	}
+
 	private static void usage(JCommander commander, PrintStream stream) {
 		StringBuilder text = new StringBuilder();
 		commander.getUsageFormatter().usage(text);
--- a/entry/src/main/java/io/anvilusher/entry/command/PlatformCommand.java
+++ b/entry/src/main/java/io/anvilusher/entry/command/PlatformCommand.java
@@ -9,6 +9,7 @@
 import io.anvilusher.adapters.control.RecordDecision;
 import io.anvilusher.adapters.process.Command;
 import io.anvilusher.adapters.process.ExitCode;
+import io.anvilusher.adapters.process.SocketAddresses;
 import io.anvilusher.logic.fold.Verdict;
 
 /**
@@ -33,6 +34,10 @@
 
 	@Override
 	public final ExitCode run() {
+		if (SocketAddresses.parse(this.platform.replaceFirst("^http://", "")).isEmpty()) {
+			System.err.println("--platform must be http://, an IP number and a port, not \"" + this.platform + "\"");
+			return ExitCode.USAGE;
+		}
 		try {
 			Optional<PlatformSession> opened = PlatformSession.open(URI.create(this.platform), this.timeoutMs);
 			if (opened.isEmpty()) {
@@ -48,10 +53,6 @@
 			Thread.currentThread().interrupt();
 			return ExitCode.FAILED;
 		}
-		catch (IllegalArgumentException ex) {
-			System.err.println("--platform: " + ex.getMessage());
-			return ExitCode.USAGE;
-		}
 	}
 
 	/**
--- a/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
@@ -77,6 +77,7 @@
 			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
 			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
 			.setServerOption(UndertowOptions.DECODE_URL, false)
+			.setSocketOption(Options.READ_TIMEOUT, settings.callerTimeoutMs())
 			.setSocketOption(Options.WRITE_TIMEOUT, settings.callerTimeoutMs())
 			.setHandler(this::handle)
 			.build();
--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -74,14 +74,23 @@
 	}
 
 	public JavaProcess startEntry(String name, String dataCentre) throws IOException {
+		return startEntry(name, dataCentre, platformUrl(), "");
+	}
+
+	/**
+	 * Starts an entry that reaches the platform at an address of its own, with further
+	 * settings.
+	 */
+	public JavaProcess startEntry(String name, String dataCentre, String platformAddress, String moreSettings)
+			throws IOException {
 		Path settings = this.directory.resolve(name + ".json");
 		Files.writeString(settings, """
 				{
 					"process": "%s", "data_centre": "%s",
 					"http_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0", "admin_address": "127.0.0.1:0",
-					"platform": "%s", "drain_notice_ms": 300
+					"platform": "%s", "drain_notice_ms": 300%s
 				}
-				""".formatted(name, dataCentre, platformUrl()));
+				""".formatted(name, dataCentre, platformAddress, moreSettings));
 		JavaProcess entry = start(name, "160m", "io.anvilusher.entry.EntryMain", "serve", "--settings",
 				settings.toString());
 		register(new Vm(name, dataCentre, entry.ports().get(1), "entry", "", false, entry));
