Prove configuration, keys, authority, orders, usage and planned stops over real processes

Red runs that found faults, each mended here: - entryThatStartsDuringAnOutageServesNoOlderVersion: a starting entry put every version that it folded in force in turn (seen: version 1 in place of 10). A state is now acted on only once the log, or what a peer knows of it, was read to its end, and appears whole after each batch. - replacementOfEachEntryCutsNothing: 15 of 16 running streams were cut at SIGTERM, because Undertow closes open connections when a listener is suspended. Ruled out: the count of requests in hand (the gauge was right). The listener now stays open, readiness turns off first, and callers that go on sending are refused as not run after 10 s.

--- a/adapters/src/main/java/io/anvilusher/adapters/control/ControlFollower.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/ControlFollower.java
@@ -1,6 +1,7 @@
 package io.anvilusher.adapters.control;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
@@ -42,10 +43,18 @@
 
 	private final Map<String, CompletableFuture<RecordDecision>> awaited = new HashMap<>();
 
+	private final List<Runnable> decisions = new ArrayList<>();
+
 	private final CheckpointAssembler checkpoints = new CheckpointAssembler();
 
+	/** What the log says so far; seen by the control thread only. */
+	private ControlState working = ControlState.EMPTY;
+
+	/** What the process acts on. */
 	private volatile ControlState state = ControlState.EMPTY;
 
+	private boolean caughtUp;
+
 	private volatile long freshAtMs = Long.MIN_VALUE;
 
 	private volatile boolean regressed;
@@ -71,13 +80,24 @@
 	}
 
 	/**
-	 * Returns the newest state.
+	 * Returns the newest state to act on. It appears whole after each batch of records,
+	 * and for the first time once the log, or what another process knew of it, was read
+	 * to its end.
 	 * @return the state
 	 */
 	public ControlState state() {
 		return this.state;
 	}
 
+	/**
+	 * Returns the offset of the newest record folded, which may not be acted on yet.
+	 * Called on the control thread.
+	 * @return the offset; 0 before the first record
+	 */
+	public long foldedOffset() {
+		return this.working.appliedOffset();
+	}
+
 	/**
 	 * Returns how old the newest proof is that the state was the log's newest.
 	 * @return age in milliseconds; {@link Long#MAX_VALUE} without any proof
@@ -119,14 +139,17 @@
 	 * @return whether the records joined the state without a gap
 	 */
 	public boolean offer(List<RawRecord> records, long earliestOffset, long endOffset, long knownAtMs) {
-		if (endOffset < this.state.appliedOffset()) {
+		if (endOffset < this.working.appliedOffset()) {
 			return noteRegression(endOffset, knownAtMs);
 		}
-		if (earliestOffset > this.state.appliedOffset() + 1 && !restoreCheckpoint(records, earliestOffset)) {
+		if (earliestOffset > this.working.appliedOffset() + 1 && !restoreCheckpoint(records, earliestOffset)) {
 			return false;
 		}
 		records.stream().takeWhile(this::isNextOrKnown).forEach(this::apply);
-		boolean whole = this.state.appliedOffset() >= endOffset;
+		boolean whole = this.working.appliedOffset() >= endOffset;
+		this.caughtUp |= whole;
+		notifyListeners();
+		announceDecisions();
 		if (whole && knownAtMs != Long.MIN_VALUE) {
 			this.regressed = false;
 			this.freshAtMs = Math.max(this.freshAtMs, knownAtMs);
@@ -138,7 +161,7 @@
 		if (knownAtMs != Long.MIN_VALUE && !this.regressed) {
 			this.regressed = true;
 			LOGGER.error("The log ends at offset {} but records through {} were read from it; keeping the state",
-					endOffset, this.state.appliedOffset());
+					endOffset, this.working.appliedOffset());
 		}
 		return true;
 	}
@@ -151,7 +174,10 @@
 		Optional<ControlState> restored = this.checkpoints.complete()
 			.filter((checkpoint) -> checkpoint.throughOffset() >= earliestOffset - 1)
 			.flatMap((checkpoint) -> RecordCodec.decodeState(checkpoint.bytes()));
-		restored.ifPresent(this::adopt);
+		restored.filter((found) -> found.appliedOffset() > this.working.appliedOffset()).ifPresent((found) -> {
+			this.recent.clear();
+			this.working = found;
+		});
 		return restored.isPresent();
 	}
 
@@ -161,19 +187,21 @@
 	 * @param offered the state
 	 */
 	public void adopt(ControlState offered) {
-		if (offered.appliedOffset() <= this.state.appliedOffset()) {
+		if (offered.appliedOffset() <= this.working.appliedOffset()) {
 			return;
 		}
 		this.recent.clear();
-		publish(offered);
+		this.working = offered;
+		this.caughtUp = true;
+		notifyListeners();
 	}
 
 	private boolean isNextOrKnown(RawRecord raw) {
-		return raw.offset() <= this.state.appliedOffset() + 1;
+		return raw.offset() <= this.working.appliedOffset() + 1;
 	}
 
 	private void apply(RawRecord raw) {
-		if (raw.offset() <= this.state.appliedOffset()) {
+		if (raw.offset() <= this.working.appliedOffset()) {
 			return;
 		}
 		keep(raw);
@@ -181,21 +209,34 @@
 		if (decoded.isEmpty()) {
 			this.unreadableRecords++;
 			LOGGER.warn("The record at offset {} cannot be read and has no effect", raw.offset());
-			publish(this.state.skip(raw.offset()));
+			this.working = this.working.skip(raw.offset());
 			return;
 		}
-		Folded<ControlState> folded = this.state.apply(new OffsetRecord(raw.offset(), decoded.get()));
-		publish(folded.state());
+		Folded<ControlState> folded = this.working.apply(new OffsetRecord(raw.offset(), decoded.get()));
+		this.working = folded.state();
 		CompletableFuture<RecordDecision> waiting = this.awaited.remove(decoded.get().id());
 		if (waiting != null) {
-			waiting.complete(new RecordDecision.Decided(raw.offset(), folded.verdict()));
+			RecordDecision decision = new RecordDecision.Decided(raw.offset(), folded.verdict());
+			this.decisions.add(() -> waiting.complete(decision));
 		}
 	}
 
-	private void publish(ControlState next) {
+	// Whoever awaits a record finds its effect in the state.
+	private void announceDecisions() {
+		List<Runnable> announced = List.copyOf(this.decisions);
+		this.decisions.clear();
+		announced.forEach(Runnable::run);
+	}
+
+	// A process that starts must not act on the states that its predecessors have left
+	// behind.
+	private void notifyListeners() {
 		ControlState before = this.state;
-		this.state = next;
-		this.listeners.forEach((listener) -> listener.onState(before, next));
+		ControlState after = this.working;
+		if (this.caughtUp && before != after) {
+			this.state = after;
+			this.listeners.forEach((listener) -> listener.onState(before, after));
+		}
 	}
 
 	private void keep(RawRecord raw) {
@@ -212,7 +253,7 @@
 	 * @return the records, or empty if some of them are no longer kept
 	 */
 	public Optional<List<RawRecord>> recentFrom(long fromOffset) {
-		if (fromOffset > this.state.appliedOffset()) {
+		if (fromOffset > this.working.appliedOffset()) {
 			return Optional.of(List.of());
 		}
 		if (this.recent.isEmpty() || this.recent.getFirst().offset() > fromOffset) {
--- a/adapters/src/main/java/io/anvilusher/adapters/control/LogReader.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/LogReader.java
@@ -64,7 +64,7 @@
 			return;
 		}
 		long startedMs = this.follower.clock().nowMs();
-		long from = Math.max(this.scanFrom, this.follower.state().appliedOffset() + 1);
+		long from = Math.max(this.scanFrom, this.follower.foldedOffset() + 1);
 		this.log.read(from, LONG_POLL_MS)
 			.thenAccept((result) -> this.follower.thread().run(() -> handle(result, startedMs, from)));
 	}
@@ -74,7 +74,7 @@
 			this.meters.counter("anvilusher.log.reads", "outcome", "ok").increment();
 			this.retryMs = MIN_RETRY_MS;
 			fold(records, startedMs, from);
-			boolean behind = records.endOffset() < this.follower.state().appliedOffset();
+			boolean behind = records.endOffset() < this.follower.foldedOffset();
 			this.follower.thread().after(behind ? LONG_POLL_MS : 0, this::readNext);
 			return;
 		}
--- a/adapters/src/main/java/io/anvilusher/adapters/control/RecordSubscription.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/RecordSubscription.java
@@ -108,7 +108,7 @@
 		this.requestId++;
 		this.requestedAtMs = this.follower.clock().nowMs();
 		RecordsRequest request = RecordsRequest.newBuilder()
-			.setFromOffset(this.follower.state().appliedOffset() + 1)
+			.setFromOffset(this.follower.foldedOffset() + 1)
 			.setRequestId(this.requestId)
 			.build();
 		this.sources.get(Math.floorMod(this.current, this.sources.size()))
--- a/adapters/src/test/java/io/anvilusher/adapters/control/ControlFollowerTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/control/ControlFollowerTests.java
@@ -89,6 +89,19 @@
 		assertEquals(RecordCodec.encodeState(cold.state()), RecordCodec.encodeState(this.follower.state()));
 	}
 
+	@Test
+	@Proves(promise = Promise.CONFIGURATION_IN_FORCE, fault = Fault.KILL, step = Step.CONFIG_APPLY)
+	public void startingProcessActsOnNoStateBeforeTheEndOfTheLog() {
+		append(new KeyGranted("k", "w", "h"));
+		append(new KeyWithdrawn("k"));
+		List<Long> acted = new ArrayList<>();
+		this.follower.addListener((before, after) -> acted.add(after.appliedOffset()));
+		this.follower.offer(this.log.subList(0, 1), 1, 2, this.nowMs);
+		assertTrue(acted.isEmpty());
+		read(this.follower, 1);
+		assertEquals(acted, List.of(2L));
+	}
+
 	@Test
 	public void coldStartWithoutAWholeCheckpointWaits() {
 		append(new KeyGranted("k", "w", "h"));
--- a/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
@@ -33,6 +33,9 @@
 
 	private static final long QUIET_MS = 300;
 
+	/** Time into a drain after which requests that still arrive are refused. */
+	private static final long REFUSE_AFTER_MS = 10_000;
+
 	private final Undertow undertow;
 
 	private final FilterChain chain;
@@ -49,6 +52,8 @@
 
 	private volatile long lastRequestAtMs;
 
+	private volatile long refuseFromMs;
+
 	/**
 	 * Creates the interface; it takes no connections yet.
 	 * @param settings settings of the entry
@@ -116,25 +121,38 @@
 	private void accept(HttpServerExchange http) {
 		String requestId = RequestIds.of(http);
 		UndertowAnswerSink sink = new UndertowAnswerSink(http, requestId);
+		if (this.draining && this.clock.nowMs() > this.refuseFromMs) {
+			refuse(sink, RefusalReason.ENTRY_DRAINING);
+			return;
+		}
 		Optional<Configuration> current = this.configuration.get();
 		if (current.isEmpty()) {
-			this.meters.refused("", RefusalReason.NO_CONFIGURATION);
-			sink.refuse(RefusalReason.NO_CONFIGURATION, "");
+			refuse(sink, RefusalReason.NO_CONFIGURATION);
 			return;
 		}
 		this.chain.next(new CallerExchange(http, sink, requestId, current.get(), this.clock.nowMs(), this.meters));
 	}
 
+	private void refuse(UndertowAnswerSink sink, RefusalReason reason) {
+		this.meters.refused("", reason);
+		sink.refuse(reason, "");
+	}
+
 	/**
-	 * Takes no further connections and waits for the requests in hand.
+	 * Waits for the requests in hand and those that still arrive. Callers that go on
+	 * sending are refused after a while.
 	 * @param timeoutMs longest time to wait
 	 * @return whether all requests ended
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public boolean drain(long timeoutMs) throws InterruptedException {
+		// Undertow closes the open connections when a listener is suspended, so the
+		// listener
+		// stays open and the balancer, which sees an entry that is not ready, stops
+		// sending.
 		this.draining = true;
 		long untilMs = this.clock.nowMs() + timeoutMs;
-		this.undertow.getListenerInfo().forEach((listener) -> listener.suspend());
+		this.refuseFromMs = this.clock.nowMs() + REFUSE_AFTER_MS;
 		while (this.inHand.get() > 0 || this.clock.nowMs() - this.lastRequestAtMs < QUIET_MS) {
 			if (this.clock.nowMs() > untilMs) {
 				return false;
--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -263,7 +263,8 @@
 	}
 
 	public JsonNode json(String url) throws IOException {
-		return MAPPER.readTree(get(url).body());
+		// A paused process gives no answer.
+		return MAPPER.readTree(send(request(url).timeout(Duration.ofSeconds(1)).GET().build()).body());
 	}
 
 	/**
--- a/verification/src/test/java/io/anvilusher/deployment/JavaProcess.java
+++ b/verification/src/test/java/io/anvilusher/deployment/JavaProcess.java
@@ -112,8 +112,8 @@
 	}
 
 	/** SIGTERM. */
-	public void terminate() {
-		this.process.destroy();
+	public void terminate() throws IOException {
+		signal("-TERM");
 	}
 
 	/** SIGKILL. */
