--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -34,6 +34,7 @@
 import io.anvilusher.entry.dispatch.AttemptRegistry;
 import io.anvilusher.entry.dispatch.Dispatcher;
 import io.anvilusher.entry.dispatch.ServerDirectory;
+import io.anvilusher.entry.dispatch.SuspectBook;
 import io.anvilusher.entry.dispatch.UsageMeter;
 import io.anvilusher.entry.fleet.EntryPeers;
 import io.anvilusher.entry.fleet.FleetWatcher;
@@ -110,9 +111,10 @@
 		AttemptRegistry registry = new AttemptRegistry(this.meters);
 		ClaimDesk claims = new ClaimDesk(this.follower, appender, this.directory);
 		UsageMeter usage = new UsageMeter();
-		this.dispatcher = new Dispatcher(this.directory, registry, claims, this.follower, usage, this.meters);
-		EntryPeers peers = new EntryPeers(this.directory, registry, this.dispatcher, claims, feed, subscription,
-				(flush) -> this.plane().onUsageFlush(flush),
+		SuspectBook suspects = new SuspectBook(this.follower, appender);
+		this.dispatcher = new Dispatcher(this.directory, registry, claims, suspects, this.follower, usage, this.meters);
+		EntryPeers peers = new EntryPeers(this.directory, registry, this.dispatcher, claims, suspects, feed,
+				subscription, (flush) -> this.plane().onUsageFlush(flush),
 				(connection) -> this.controlThread.run(() -> this.fleet().notifyLeaving(connection)));
 		Hello hello = hello();
 		this.fleet = new FleetWatcher(settings.process(),
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/DispatchedCall.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/DispatchedCall.java
@@ -36,6 +36,12 @@
 
 	private static final int MAX_CLAIM_TRIES = 3;
 
+	/** Servers that a request may crash. */
+	private static final int MAX_CRASHES = 2;
+
+	/** Pause before the first retry; each further one is twice as long. */
+	private static final long RETRY_DELAY_MS = 10;
+
 	/** Time for a full server's next report to arrive. */
 	private static final long REQUEUE_DELAY_MS = 25;
 
@@ -57,6 +63,8 @@
 
 	private int attempts;
 
+	private int ownCrashes;
+
 	private boolean mayHaveRun;
 
 	private boolean committed;
@@ -107,7 +115,24 @@
 		return !this.request.repeatable() && this.request.idempotencyKey().isPresent();
 	}
 
+	/**
+	 * Tells whether the request may crash its server, so that it has to run alone.
+	 * @return whether it may
+	 */
+	boolean isSuspect() {
+		synchronized (this) {
+			if (this.ownCrashes > 0) {
+				return true;
+			}
+		}
+		return this.dispatcher.suspects().isSuspect(this.request.fingerprint());
+	}
+
 	void begin() {
+		if (this.dispatcher.suspects().isRefused(this.request.fingerprint()) || ownCrashes() >= MAX_CRASHES) {
+			refuse(RefusalReason.REQUEST_CRASHES_SERVERS, "");
+			return;
+		}
 		if (needsClaim()) {
 			this.dispatcher.claims().resolve(this.request, this::onClaimResolved);
 			return;
@@ -200,6 +225,10 @@
 		this.held = ByteString.EMPTY;
 	}
 
+	private synchronized int ownCrashes() {
+		return this.ownCrashes;
+	}
+
 	@Override
 	public synchronized void onHead(int answerStatus, List<AnswerHeader> answerHeaders) {
 		this.status = answerStatus;
@@ -245,6 +274,7 @@
 		RequestProgress progress;
 		synchronized (this) {
 			this.mayHaveRun |= outcome instanceof AttemptOutcome.Unknown;
+			this.ownCrashes += isCrash(outcome) ? 1 : 0;
 			if (this.attempt != null) {
 				this.excludedServers.add(this.attempt.server().name());
 			}
@@ -255,11 +285,15 @@
 				countUsage(promptTokens, outputTokens);
 			}
 			progress = new RequestProgress(this.request.repeatable(), this.mayHaveRun, this.committed, this.attempts,
-					remainingMs());
+					remainingMs(), this.ownCrashes > 0);
 		}
 		follow(this.dispatcher.decide(this, outcome, progress), outcome);
 	}
 
+	private static boolean isCrash(AttemptOutcome outcome) {
+		return outcome instanceof AttemptOutcome.Unknown unknown && unknown.reason() == AttemptFailure.SERVER_CRASHED;
+	}
+
 	private void follow(RetryDecision decision, AttemptOutcome outcome) {
 		if (decision instanceof RetryDecision.GiveUp giveUp) {
 			refuse(giveUp.reason(), "");
@@ -268,15 +302,16 @@
 		AttemptFailure failure = failureOf(outcome);
 		this.dispatcher.meters().retried(this.request.service().name(), failure);
 		LOGGER.info("Request {} is tried again: {}", this.request.requestId(), failure);
-		if (decision instanceof RetryDecision.Retry) {
-			begin();
-			return;
-		}
-		synchronized (this) {
+		this.dispatcher.after(delayBefore(decision), this::begin);
+	}
+
+	private synchronized long delayBefore(RetryDecision decision) {
+		if (decision instanceof RetryDecision.Requeue) {
 			this.attempts--;
 			this.excludedServers.clear();
+			return REQUEUE_DELAY_MS;
 		}
-		this.dispatcher.after(REQUEUE_DELAY_MS, this::begin);
+		return RETRY_DELAY_MS << Math.max(0, this.attempts - 1);
 	}
 
 	private static AttemptFailure failureOf(AttemptOutcome outcome) {
@@ -311,6 +346,9 @@
 
 	private void onAnswered(long promptTokens, long outputTokens) {
 		boolean whole;
+		if (isSuspect()) {
+			this.dispatcher.suspects().clear(this.request.fingerprint());
+		}
 		synchronized (this) {
 			countUsage(promptTokens, outputTokens);
 			if (this.finished) {
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/Dispatcher.java
@@ -43,6 +43,8 @@
 	 */
 	private static final long ACCEPT_GRACE_MS = 500;
 
+	private static final long SUSPECT_START_WINDOW_MS = 5000;
+
 	/** Bytes of an answer that may be on their way to a slow reader. */
 	private static final int CREDIT_BYTES = 128 * 1024;
 
@@ -61,6 +63,8 @@
 
 	private final ClaimDesk claims;
 
+	private final SuspectBook suspects;
+
 	private final ControlFollower follower;
 
 	private final UsageMeter usage;
@@ -84,15 +88,17 @@
 	 * @param directory the backend servers
 	 * @param registry the attempts under way
 	 * @param claims claims calls that may not be repeated
+	 * @param suspects requests that were running at crashes
 	 * @param follower the control state
 	 * @param usage counts work done for workspaces
 	 * @param meters counts requests, refusals and retries
 	 */
-	public Dispatcher(ServerDirectory directory, AttemptRegistry registry, ClaimDesk claims, ControlFollower follower,
-			UsageMeter usage, Meters meters) {
+	public Dispatcher(ServerDirectory directory, AttemptRegistry registry, ClaimDesk claims, SuspectBook suspects,
+			ControlFollower follower, UsageMeter usage, Meters meters) {
 		this.directory = directory;
 		this.registry = registry;
 		this.claims = claims;
+		this.suspects = suspects;
 		this.follower = follower;
 		this.usage = usage;
 		this.meters = meters;
@@ -209,8 +215,9 @@
 				return Optional.of(() -> {
 				});
 			}
-			ServerDirectory.Picked picked = this.directory.pick(lane.service(), call.excludedServers(),
-					call.request().prefixHash());
+			ServerDirectory.Picked picked = call.isSuspect()
+					? this.directory.pickForSuspect(lane.service(), call.excludedServers())
+					: this.directory.pick(lane.service(), call.excludedServers(), call.request().prefixHash());
 			return picked.server().map((server) -> {
 				lane.queue().poll();
 				return () -> call.launch(server);
@@ -261,7 +268,8 @@
 			.setBody(ByteString.copyFrom(request.body()))
 			.setRepeatable(request.repeatable())
 			.setSidecarIncarnation(server.incarnation())
-			.setStartBeforeMs(this.directory.startBeforeMs(server, START_WINDOW_MS))
+			.setStartBeforeMs(this.directory.startBeforeMs(server, startWindowMs(call)))
+			.setSuspect(call.isSuspect())
 			.setDeadlineMs(Math.max(1, remainingMs))
 			.setFingerprint(request.fingerprint())
 			.setInitialCreditBytes(CREDIT_BYTES)
@@ -273,11 +281,16 @@
 			attempt.end(new AttemptOutcome.NotRun(AttemptFailure.NO_LINK), 0, 0);
 			return;
 		}
-		watch(attempt, request, remainingMs);
+		watch(attempt, request, startWindowMs(call), remainingMs);
+	}
+
+	// A suspect waits at its server until the attempts before it have ended.
+	private static long startWindowMs(DispatchedCall call) {
+		return call.isSuspect() ? SUSPECT_START_WINDOW_MS : START_WINDOW_MS;
 	}
 
-	private void watch(Attempt attempt, CallerRequest request, long remainingMs) {
-		after(START_WINDOW_MS + ACCEPT_GRACE_MS, () -> {
+	private void watch(Attempt attempt, CallerRequest request, long startWindowMs, long remainingMs) {
+		after(startWindowMs + ACCEPT_GRACE_MS, () -> {
 			if (attempt.isEnded() || attempt.isAccepted()) {
 				return;
 			}
@@ -354,6 +367,10 @@
 		return this.claims;
 	}
 
+	SuspectBook suspects() {
+		return this.suspects;
+	}
+
 	UsageMeter usage() {
 		return this.usage;
 	}
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/ServerDirectory.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/ServerDirectory.java
@@ -1,5 +1,6 @@
 package io.anvilusher.entry.dispatch;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -101,6 +102,23 @@
 		return new Picked(picked, true);
 	}
 
+	/**
+	 * Picks the server on which all entries run the suspects of a service, whatever its
+	 * load, so that the other servers are kept from them, and counts the attempt as sent.
+	 * @param service the service
+	 * @param excluded servers that shall not be picked
+	 * @return the server, or why there is none
+	 */
+	synchronized Picked pickForSuspect(String service, Set<String> excluded) {
+		Optional<BackendServer> first = this.byConnection.values()
+			.stream()
+			.filter((server) -> server.service().equals(service) && takesWork(server))
+			.min(Comparator.comparing((BackendServer server) -> excluded.contains(server.name()))
+				.thenComparing(BackendServer::name));
+		first.ifPresent(BackendServer::onAttemptSent);
+		return new Picked(first, first.isPresent());
+	}
+
 	/**
 	 * Tells whether this entry has no attempt on a VM's server.
 	 * @param vm name of the VM
--- a/entry/src/main/java/io/anvilusher/entry/fleet/EntryPeers.java
+++ b/entry/src/main/java/io/anvilusher/entry/fleet/EntryPeers.java
@@ -14,6 +14,7 @@
 import io.anvilusher.entry.dispatch.AttemptRegistry;
 import io.anvilusher.entry.dispatch.Dispatcher;
 import io.anvilusher.entry.dispatch.ServerDirectory;
+import io.anvilusher.entry.dispatch.SuspectBook;
 import io.anvilusher.protocol.generated.PeerMessages.Frame;
 import io.anvilusher.protocol.generated.PeerMessages.UsageFlush;
 import io.anvilusher.protocol.generated.PeerMessages.Withdrawal;
@@ -41,6 +42,8 @@
 
 	private final ClaimDesk claims;
 
+	private final SuspectBook suspects;
+
 	private final RecordFeed feed;
 
 	private final RecordSubscription subscription;
@@ -59,18 +62,20 @@
 	 * @param registry the attempts under way
 	 * @param dispatcher the requests in hand
 	 * @param claims the claims of calls that may not be repeated
+	 * @param suspects requests that were running at crashes
 	 * @param feed brings records to others
 	 * @param subscription receives records from others
 	 * @param onUsageFlush takes in the counts of other entries
 	 * @param onSidecarOpen called with each new connection to a sidecar
 	 */
 	public EntryPeers(ServerDirectory directory, AttemptRegistry registry, Dispatcher dispatcher, ClaimDesk claims,
-			RecordFeed feed, RecordSubscription subscription, Consumer<UsageFlush> onUsageFlush,
+			SuspectBook suspects, RecordFeed feed, RecordSubscription subscription, Consumer<UsageFlush> onUsageFlush,
 			Consumer<PeerConnection> onSidecarOpen) {
 		this.directory = directory;
 		this.registry = registry;
 		this.dispatcher = dispatcher;
 		this.claims = claims;
+		this.suspects = suspects;
 		this.feed = feed;
 		this.subscription = subscription;
 		this.onUsageFlush = onUsageFlush;
@@ -103,6 +108,7 @@
 			case RECORDS_REQUEST -> this.feed.onRequest(connection, frame.getRecordsRequest());
 			case RECORDS_REPLY -> this.subscription.onReply(connection, frame.getRecordsReply());
 			case USAGE_FLUSH -> this.onUsageFlush.accept(frame.getUsageFlush());
+			case CRASH_NOTICE -> this.suspects.onNotice(frame.getCrashNotice());
 			case WITHDRAWAL -> withdraw(frame.getWithdrawal().getKeyId());
 			default -> LOGGER.debug("Passing over a frame of kind {}", frame.getBodyCase());
 		}
--- a/logic/src/main/java/io/anvilusher/logic/retry/RetryPolicy.java
+++ b/logic/src/main/java/io/anvilusher/logic/retry/RetryPolicy.java
@@ -34,7 +34,9 @@
 			return new RetryDecision.GiveUp(
 					progress.mayHaveRun() ? RefusalReason.DEADLINE_EXCEEDED : RefusalReason.QUEUE_TIMEOUT);
 		}
-		if (failure == AttemptFailure.SERVER_FULL) {
+		boolean waits = failure == AttemptFailure.SERVER_FULL
+				|| (failure == AttemptFailure.STARTED_TOO_LATE && progress.suspect());
+		if (waits) {
 			return new RetryDecision.Requeue();
 		}
 		if (progress.attempts() >= MAX_ATTEMPTS || !budget.tryRetry()) {
--- a/logic/src/test/java/io/anvilusher/logic/retry/RetryPolicyTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/retry/RetryPolicyTests.java
@@ -36,7 +36,7 @@
 	@Proves(promise = Promise.AT_MOST_ONCE, fault = Fault.KILL, step = Step.ATTEMPT_STARTED)
 	public void callThatMayNotBeRepeatedIsNeverSentAgainOnceItMayHaveRun(AttemptFailure failure) {
 		RetryDecision decision = decide(new AttemptOutcome.Unknown(failure),
-				new RequestProgress(false, true, false, 1, 10_000));
+				new RequestProgress(false, true, false, 1, 10_000, false));
 		assertTrue(decision instanceof RetryDecision.GiveUp);
 	}
 
@@ -46,7 +46,7 @@
 		for (long remainingMs : new long[] { 0, 10_000 }) {
 			for (AttemptOutcome outcome : new AttemptOutcome[] { new AttemptOutcome.NotRun(failure),
 					new AttemptOutcome.Unknown(failure) }) {
-				RetryDecision decision = decide(outcome, new RequestProgress(true, true, false, 9, remainingMs));
+				RetryDecision decision = decide(outcome, new RequestProgress(true, true, false, 9, remainingMs, false));
 				if (decision instanceof RetryDecision.GiveUp giveUp) {
 					assertFalse(giveUp.reason().notRun(), giveUp.reason() + " after " + outcome);
 				}
@@ -57,14 +57,14 @@
 	@Test
 	public void repeatableCallIsTriedOnAnotherServer() {
 		assertTrue(decide(new AttemptOutcome.Unknown(AttemptFailure.SERVER_CRASHED),
-				new RequestProgress(true, true, false, 1, 10_000)) instanceof RetryDecision.Retry);
+				new RequestProgress(true, true, false, 1, 10_000, false)) instanceof RetryDecision.Retry);
 	}
 
 	@Test
 	@Proves(promise = Promise.WHOLE_OWN_ANSWER, fault = Fault.ENGINE_CRASH, step = Step.ANSWER_STREAMING)
 	public void answerThatHasBegunIsNotBegunAgain() {
 		RetryDecision decision = decide(new AttemptOutcome.Unknown(AttemptFailure.ANSWER_CUT),
-				new RequestProgress(true, true, true, 1, 10_000));
+				new RequestProgress(true, true, true, 1, 10_000, false));
 		assertEquals(decision, new RetryDecision.GiveUp(RefusalReason.ANSWER_CUT));
 	}
 
@@ -75,7 +75,7 @@
 		for (int request = 0; request < 1000; request++) {
 			budget.onRequest();
 			RetryDecision decision = this.policy.decide(new AttemptOutcome.Unknown(AttemptFailure.SERVER_CRASHED),
-					new RequestProgress(true, true, false, 1, 10_000), budget);
+					new RequestProgress(true, true, false, 1, 10_000, false), budget);
 			retries += (decision instanceof RetryDecision.Retry) ? 1 : 0;
 		}
 		assertTrue(retries <= 20 + 200, "retries: " + retries);
--- a/sidecar/src/main/java/io/anvilusher/sidecar/BackendProbe.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/BackendProbe.java
@@ -1,5 +1,7 @@
 package io.anvilusher.sidecar;
 
+import java.util.concurrent.CompletableFuture;
+
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,14 +44,21 @@
 		thread.run(() -> probe(thread));
 	}
 
-	private void probe(ControlThread thread) {
+	/**
+	 * Asks the backend server once.
+	 * @return whether it answers; never fails exceptionally
+	 */
+	CompletableFuture<Boolean> isUp() {
 		HttpCall call = HttpCall.of("GET", this.settings.backend(), this.settings.healthPath(), new byte[0]);
-		this.caller.call(call, TIMEOUT_MS)
-			.handle((answer, failure) -> failure == null && answer.status() < FIRST_SERVER_ERROR)
-			.thenAccept((up) -> thread.run(() -> {
-				note(up);
-				thread.after(PERIOD_MS, () -> probe(thread));
-			}));
+		return this.caller.call(call, TIMEOUT_MS)
+			.handle((answer, failure) -> failure == null && answer.status() < FIRST_SERVER_ERROR);
+	}
+
+	private void probe(ControlThread thread) {
+		isUp().thenAccept((up) -> thread.run(() -> {
+			note(up);
+			thread.after(PERIOD_MS, () -> probe(thread));
+		}));
 	}
 
 	private void note(boolean up) {
--- a/sidecar/src/main/java/io/anvilusher/sidecar/ServerReporter.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/ServerReporter.java
@@ -64,7 +64,10 @@
 	}
 
 	void reportToAll() {
-		Frame frame = report();
+		broadcast(report());
+	}
+
+	void broadcast(Frame frame) {
 		this.entries.forEach((entry) -> entry.send(frame));
 	}
 
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -1,5 +1,8 @@
 package io.anvilusher.sidecar;
 
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.EventLoopGroup;
@@ -23,6 +26,10 @@
 import io.anvilusher.adapters.process.ProcessIdentity;
 import io.anvilusher.logic.fold.ControlState;
 import io.anvilusher.model.config.ServiceSpec;
+import io.anvilusher.model.fact.CrashObserved;
+import io.anvilusher.model.request.AttemptFailure;
+import io.anvilusher.protocol.generated.PeerMessages.AttemptStart;
+import io.anvilusher.protocol.generated.PeerMessages.CrashNotice;
 import io.anvilusher.protocol.generated.PeerMessages.Frame;
 import io.anvilusher.protocol.generated.PeerMessages.Hello;
 import io.anvilusher.protocol.generated.PeerMessages.VmNotice;
@@ -31,6 +38,7 @@
 import io.anvilusher.protocol.transport.PeerServer;
 import io.anvilusher.protocol.transport.PeerTiming;
 import io.anvilusher.sidecar.attempt.AttemptHandler;
+import io.anvilusher.sidecar.attempt.CrashDetector;
 import io.anvilusher.sidecar.attempt.ServerGate;
 import io.anvilusher.sidecar.order.EngineClient;
 import io.anvilusher.sidecar.order.OrderExecutor;
@@ -48,6 +56,8 @@
 
 	private static final long PLATFORM_TIMEOUT_MS = 2000;
 
+	private static final long CRASH_APPEND_TIMEOUT_MS = 60_000;
+
 	/** Time for entries to learn of a drain before the last connection is closed. */
 	private static final long LINGER_MS = 200;
 
@@ -75,8 +85,14 @@
 
 	private final AttemptHandler attempts;
 
+	private final RecordAppender appender;
+
 	private final OrderExecutor orders;
 
+	private final BackendProbe probe;
+
+	private final CrashDetector crashes;
+
 	private final PeerServer peers;
 
 	private final AdminServer admin;
@@ -86,8 +102,15 @@
 		this.identity = ProcessIdentity.start(settings.process(), settings.dataCentre());
 		this.reporter = new ServerReporter(settings, this.identity, this.follower, this.gate);
 		this.attempts = new AttemptHandler(this.identity, MonotonicClock.SYSTEM, this.gate, this.client,
-				settings.backend(), this.meters, (start, failure, running) -> this.reporter.onChange());
-		this.orders = orderExecutor();
+				settings.backend(), this.meters, this::onAttemptEnded);
+		HttpPlatformLog log = new HttpPlatformLog(new HttpCaller(this.platformClient), settings.platform(),
+				PLATFORM_TIMEOUT_MS);
+		this.appender = new RecordAppender(log, this.follower, this.identity.incarnation(), this.meters);
+		this.orders = new OrderExecutor(settings.server(), this.identity.incarnation(), this.follower, this.appender,
+				new EngineClient(new HttpCaller(this.client), settings.backend()), this.gate, this.reporter::onChange);
+		this.probe = new BackendProbe(new HttpCaller(this.client), settings, this.gate, this.reporter::onChange);
+		this.crashes = new CrashDetector(this.identity.incarnation(), this.controlThread, this.probe::isUp,
+				this::onSuspicion, this::onCrash);
 		this.follower.addListener(this::onState);
 		Hello hello = Hello.newBuilder()
 			.setProcess(settings.process())
@@ -102,13 +125,25 @@
 				this::status);
 	}
 
-	private OrderExecutor orderExecutor() {
-		HttpPlatformLog log = new HttpPlatformLog(new HttpCaller(this.platformClient), this.settings.platform(),
-				PLATFORM_TIMEOUT_MS);
-		RecordAppender appender = new RecordAppender(log, this.follower, this.identity.incarnation(), this.meters);
-		return new OrderExecutor(this.settings.server(), this.identity.incarnation(), this.follower, appender,
-				new EngineClient(new HttpCaller(this.client), this.settings.backend()), this.gate,
-				this.reporter::onChange);
+	private void onAttemptEnded(AttemptStart start, Optional<AttemptFailure> failure, List<String> running) {
+		this.reporter.onChange();
+		this.crashes.onAttemptEnded(start, failure, running);
+	}
+
+	private void onSuspicion(String crashId, Set<String> fingerprints) {
+		this.reporter.broadcast(Frame.newBuilder()
+			.setCrashNotice(CrashNotice.newBuilder()
+				.setServer(this.settings.server())
+				.setCrashId(crashId)
+				.addAllFingerprints(fingerprints))
+			.build());
+	}
+
+	private void onCrash(String crashId, Set<String> fingerprints) {
+		this.gate.setReachable(false);
+		this.reporter.onChange();
+		this.appender.append(new CrashObserved(crashId, this.settings.server(), List.copyOf(fingerprints)),
+				CRASH_APPEND_TIMEOUT_MS);
 	}
 
 	/**
@@ -121,8 +156,7 @@
 		sidecar.subscription.start();
 		sidecar.reporter.start();
 		sidecar.orders.start();
-		new BackendProbe(new HttpCaller(sidecar.client), settings, sidecar.gate, sidecar.reporter::onChange)
-			.start(sidecar.controlThread);
+		sidecar.probe.start(sidecar.controlThread);
 		LOGGER.info("Sidecar {} of server {} listens on port {}, admin on port {}", settings.process(),
 				settings.server(), sidecar.peers.port(), sidecar.admin.port());
 		return sidecar;
--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -122,6 +122,16 @@
 		this.backends.get(server).ports();
 	}
 
+	/** Starts a killed plain service again on its port. */
+	public void restartPlain(String server, long delayMs) throws IOException {
+		JavaProcess old = this.backends.get(server);
+		int port = old.ports().get(0);
+		old.kill();
+		this.backends.put(server, start(server + "-backend", "96m", PlainStandIn.class.getName(), String.valueOf(port),
+				executions().toString(), String.valueOf(delayMs)));
+		this.backends.get(server).ports();
+	}
+
 	public JavaProcess startSidecar(String server, String dataCentre, String service) throws IOException {
 		Path settings = this.directory.resolve(server + ".json");
 		int lockPort = lockPort(server);
