Measure the path; mend two leaks that the measurement found

Cause: a close listener was added to the caller's connection for each request, and to the backend connection each time it was kept; Undertow keeps them for the connection's life, and with them the request, its answer and its timeouts. Ruled out: the retry queue (empty), a lock (no thread was blocked), the timers alone (cancelled since, but still held through the listeners).

--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -90,6 +90,7 @@
 
 			@Override
 			public void completed(ClientConnection connection) {
+				connection.addCloseListener((closed) -> forget(call.target(), connection));
 				connection.getIoThread().execute(() -> running.send(connection));
 			}
 
@@ -123,6 +124,13 @@
 		return null;
 	}
 
+	private void forget(URI target, ClientConnection connection) {
+		Deque<ClientConnection> connections = this.idle.get(target);
+		if (connections != null) {
+			connections.remove(connection);
+		}
+	}
+
 	PooledByteBuffer allocate() {
 		return this.buffers.allocate();
 	}
@@ -134,7 +142,6 @@
 			return;
 		}
 		connections.addLast(connection);
-		connection.addCloseListener((closed) -> connections.remove(connection));
 	}
 
 	@Override
--- /dev/null
+++ b/benchmarks/src/main/java/io/anvilusher/bench/StreamRecorder.java
@@ -0,0 +1,112 @@
+package io.anvilusher.bench;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.HdrHistogram.ConcurrentHistogram;
+
+import io.anvilusher.adapters.http.HttpCallListener;
+import io.anvilusher.model.request.AnswerHeader;
+
+/**
+ * Measures one token stream and checks that no token is missing, doubled or out of place.
+ */
+final class StreamRecorder implements HttpCallListener {
+
+	private final String tag;
+
+	private final int tokens;
+
+	private final Totals totals;
+
+	private final CountDownLatch done;
+
+	private final StringBuilder text = new StringBuilder();
+
+	private final long startedNanos = System.nanoTime();
+
+	private long lastNanos;
+
+	private int status;
+
+	StreamRecorder(String tag, int tokens, Totals totals, CountDownLatch done) {
+		this.tag = tag;
+		this.tokens = tokens;
+		this.totals = totals;
+		this.done = done;
+	}
+
+	@Override
+	public void onHead(int answerStatus, List<AnswerHeader> headers, boolean framed) {
+		this.status = answerStatus;
+	}
+
+	@Override
+	public void onData(ByteBuffer data) {
+		long nowNanos = System.nanoTime();
+		if (this.lastNanos == 0) {
+			this.totals.firstToken.recordValue((nowNanos - this.startedNanos) / 1000);
+		}
+		else {
+			this.totals.gap.recordValue((nowNanos - this.lastNanos) / 1000);
+		}
+		this.lastNanos = nowNanos;
+		this.text.append(StandardCharsets.UTF_8.decode(data));
+	}
+
+	@Override
+	public void onEnd() {
+		int next = 0;
+		int from = 0;
+		for (int at = this.text.indexOf(this.tag + "-"); at >= 0; at = this.text.indexOf(this.tag + "-", from)) {
+			from = at + 1;
+			boolean inPlace = this.text.indexOf(this.tag + "-" + next + " ", at) == at;
+			next = inPlace ? next + 1 : Integer.MIN_VALUE;
+		}
+		boolean whole = this.status == 200 && next == this.tokens && this.text.indexOf("[DONE]") > 0;
+		(whole ? this.totals.whole : this.totals.broken).incrementAndGet();
+		this.done.countDown();
+	}
+
+	@Override
+	public void onFailure(boolean sent, IOException cause) {
+		this.totals.broken.incrementAndGet();
+		this.done.countDown();
+	}
+
+	/**
+	 * What all streams of a run add up to. Times are in microseconds.
+	 */
+	static final class Totals {
+
+		private final ConcurrentHistogram firstToken = new ConcurrentHistogram(3);
+
+		private final ConcurrentHistogram gap = new ConcurrentHistogram(3);
+
+		private final AtomicInteger whole = new AtomicInteger();
+
+		private final AtomicInteger broken = new AtomicInteger();
+
+		ConcurrentHistogram firstToken() {
+			return this.firstToken;
+		}
+
+		ConcurrentHistogram gap() {
+			return this.gap;
+		}
+
+		int whole() {
+			return this.whole.get();
+		}
+
+		int broken() {
+			return this.broken.get();
+		}
+
+	}
+
+}
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/Attempt.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/Attempt.java
@@ -1,7 +1,10 @@
 package io.anvilusher.entry.dispatch;
 
+import java.util.ArrayList;
 import java.util.List;
 
+import io.netty.util.Timeout;
+
 import io.anvilusher.logic.request.AnswerFrames;
 import io.anvilusher.model.request.AnswerHeader;
 import io.anvilusher.model.request.AttemptFailure;
@@ -29,6 +32,8 @@
 
 	private final Runnable onEnd;
 
+	private final List<Timeout> timeouts = new ArrayList<>();
+
 	private final AnswerFrames frames = new AnswerFrames();
 
 	private boolean accepted;
@@ -56,6 +61,18 @@
 		return this.server.connection();
 	}
 
+	/**
+	 * Cancels a timeout when the attempt ends, so that it holds the request no longer.
+	 * @param timeout the timeout
+	 */
+	synchronized void watchedBy(Timeout timeout) {
+		if (this.ended) {
+			timeout.cancel();
+			return;
+		}
+		this.timeouts.add(timeout);
+	}
+
 	synchronized boolean isAccepted() {
 		return this.accepted;
 	}
@@ -170,6 +187,7 @@
 				return;
 			}
 			this.ended = true;
+			this.timeouts.forEach(Timeout::cancel);
 		}
 		this.onEnd.run();
 		this.listener.onEnded(outcome, promptTokens, outputTokens);
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/Dispatcher.java
@@ -12,6 +12,7 @@
 
 import com.google.protobuf.ByteString;
 import io.netty.util.HashedWheelTimer;
+import io.netty.util.Timeout;
 
 import io.anvilusher.adapters.control.ControlFollower;
 import io.anvilusher.adapters.metrics.Meters;
@@ -290,7 +291,7 @@
 	}
 
 	private void watch(Attempt attempt, CallerRequest request, long startWindowMs, long remainingMs) {
-		after(startWindowMs + ACCEPT_GRACE_MS, () -> {
+		attempt.watchedBy(after(startWindowMs + ACCEPT_GRACE_MS, () -> {
 			if (attempt.isEnded() || attempt.isAccepted()) {
 				return;
 			}
@@ -301,15 +302,15 @@
 				// The sidecar's answer tells whether the call ran.
 				attempt.sendCancel();
 			}
-		});
+		}));
 		if (request.repeatable()) {
-			after(headLimitMs(request, remainingMs), () -> {
+			attempt.watchedBy(after(headLimitMs(request, remainingMs), () -> {
 				if (!attempt.hasHead()) {
 					attempt.abandon(AttemptFailure.TIMED_OUT);
 				}
-			});
+			}));
 		}
-		after(remainingMs, () -> attempt.abandon(AttemptFailure.TIMED_OUT));
+		attempt.watchedBy(after(remainingMs, () -> attempt.abandon(AttemptFailure.TIMED_OUT)));
 	}
 
 	private static long headLimitMs(CallerRequest request, long remainingMs) {
@@ -318,8 +319,8 @@
 				: half;
 	}
 
-	void after(long delayMs, Runnable task) {
-		this.timer.newTimeout((timeout) -> task.run(), Math.max(1, delayMs), TimeUnit.MILLISECONDS);
+	Timeout after(long delayMs, Runnable task) {
+		return this.timer.newTimeout((timeout) -> task.run(), Math.max(1, delayMs), TimeUnit.MILLISECONDS);
 	}
 
 	RetryDecision decide(DispatchedCall call, AttemptOutcome outcome, RequestProgress progress) {
--- a/entry/src/main/java/io/anvilusher/entry/http/UndertowAnswerSink.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/UndertowAnswerSink.java
@@ -150,11 +150,16 @@
 
 	@Override
 	public void onCallerGone(Runnable action) {
-		this.exchange.getConnection().addCloseListener((connection) -> {
+		CallerWatch watch = CallerWatch.of(this.exchange.getConnection());
+		watch.set(() -> {
 			if (!this.answered) {
 				action.run();
 			}
 		});
+		this.exchange.addExchangeCompleteListener((ended, next) -> {
+			watch.clear();
+			next.proceed();
+		});
 	}
 
 	private void drain() {
--- a/verification/src/test/java/io/anvilusher/deployment/JavaProcess.java
+++ b/verification/src/test/java/io/anvilusher/deployment/JavaProcess.java
@@ -18,6 +18,9 @@
 /** A Java process whose output is kept in a file and read for the ports it listens on. */
 public final class JavaProcess implements AutoCloseable {
 
+	/** Flags of processes that live for a short time. */
+	private static final String QUICK_START = "-XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:MaxDirectMemorySize=64m";
+
 	private static final Pattern READY = Pattern.compile("ready port=(\\d+)");
 
 	private static final Pattern ENTRY_READY = Pattern
@@ -40,9 +43,10 @@
 	}
 
 	public static JavaProcess start(Path output, String heap, String main, String... args) throws IOException {
-		List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElse("java"),
-				"-Xmx" + heap, "-Xss512k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:MaxDirectMemorySize=64m",
-				"-cp", classPath(), main));
+		List<String> command = new ArrayList<>(
+				List.of(ProcessHandle.current().info().command().orElse("java"), "-Xmx" + heap, "-Xss512k"));
+		command.addAll(List.of(System.getProperty("anvilusher.jvm", QUICK_START).split(" ")));
+		command.addAll(List.of("-cp", classPath(), main));
 		command.addAll(List.of(args));
 		ProcessBuilder builder = new ProcessBuilder(command);
 		builder.redirectErrorStream(true);
