--- a/adapters/src/main/java/io/anvilusher/adapters/control/RecordSubscription.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/RecordSubscription.java
@@ -17,14 +17,17 @@
  */
 public final class RecordSubscription {
 
-	private static final long POLL_MS = 1000;
-
-	private static final long STALE_SOURCE_MS = 3000;
+	/**
+	 * How much older than two questions the state may be before the next source is asked.
+	 */
+	private static final long STALE_MARGIN_MS = 1000;
 
 	private final ControlFollower follower;
 
 	private final BooleanSupplier needed;
 
+	private final long pollMs;
+
 	private final List<PeerConnection> sources = new ArrayList<>();
 
 	private int current;
@@ -41,8 +44,10 @@
 	 * Creates a subscription without sources.
 	 * @param follower folds the records
 	 * @param needed tells whether records are to be asked for now
+	 * @param pollMs time between two questions; new records come unasked in between
 	 */
-	public RecordSubscription(ControlFollower follower, BooleanSupplier needed) {
+	public RecordSubscription(ControlFollower follower, BooleanSupplier needed, long pollMs) {
+		this.pollMs = pollMs;
 		this.follower = follower;
 		this.needed = needed;
 	}
@@ -51,7 +56,7 @@
 	 * Starts to ask.
 	 */
 	public void start() {
-		this.follower.thread().every(POLL_MS, this::poll);
+		this.follower.thread().every(this.pollMs, this::poll);
 	}
 
 	/**
@@ -101,7 +106,7 @@
 		if (this.sources.isEmpty() || !this.needed.getAsBoolean()) {
 			return;
 		}
-		if (!this.answered || this.follower.ageMs() > STALE_SOURCE_MS) {
+		if (!this.answered || this.follower.ageMs() > 2 * this.pollMs + STALE_MARGIN_MS) {
 			this.current++;
 		}
 		this.answered = false;
--- a/adapters/src/main/java/io/anvilusher/adapters/metrics/Meters.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/metrics/Meters.java
@@ -18,6 +18,14 @@
 
 	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
 
+	/**
+	 * Creates the meters, with a gauge of the heap in use.
+	 */
+	public Meters() {
+		gauge("anvilusher.heap.used.bytes", Runtime.getRuntime(),
+				(runtime) -> runtime.totalMemory() - runtime.freeMemory());
+	}
+
 	/**
 	 * Counts a refused request.
 	 * @param service the service; empty when it is not known
--- a/benchmarks/src/main/java/io/anvilusher/bench/Bench.java
+++ b/benchmarks/src/main/java/io/anvilusher/bench/Bench.java
@@ -16,7 +16,10 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
-		ExitCode code = new CommandLine("bench", System.out, System.err).add("path", new PathBench()).run(args);
+		ExitCode code = new CommandLine("bench", System.out, System.err).add("path", new PathBench())
+			.add("slopes", new SlopeBench())
+			.add("control", new ControlBench())
+			.run(args);
 		System.exit(code.code());
 	}
 
--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -57,6 +57,8 @@
 
 	private static final int NETTY_THREADS = 2;
 
+	private static final long RECORDS_POLL_MS = 1000;
+
 	private static final long PLATFORM_TIMEOUT_MS = 2000;
 
 	/** Time for the last counts to leave. */
@@ -107,7 +109,7 @@
 		this.logReader = new LogReader(log, this.follower, this.meters);
 		RecordAppender appender = new RecordAppender(log, this.follower, this.identity.incarnation(), this.meters);
 		RecordFeed feed = new RecordFeed(this.follower);
-		RecordSubscription subscription = new RecordSubscription(this.follower, this::readsFromPeers);
+		RecordSubscription subscription = new RecordSubscription(this.follower, this::readsFromPeers, RECORDS_POLL_MS);
 		AttemptRegistry registry = new AttemptRegistry(this.meters);
 		ClaimDesk claims = new ClaimDesk(this.follower, appender, this.directory);
 		UsageMeter usage = new UsageMeter();
--- a/protocol/src/main/java/io/anvilusher/protocol/transport/PeerTiming.java
+++ b/protocol/src/main/java/io/anvilusher/protocol/transport/PeerTiming.java
@@ -13,7 +13,7 @@
 		long reconnectMaxMs) {
 
 	/** Times that suit processes a few milliseconds apart. */
-	public static final PeerTiming DEFAULT = new PeerTiming(1000, 3500, 1000, 50, 1000);
+	public static final PeerTiming DEFAULT = new PeerTiming(2500, 6000, 1000, 50, 1000);
 
 	public PeerTiming {
 		if (readTimeoutMs <= 2 * keepAliveMs) {
--- a/sidecar/src/main/java/io/anvilusher/sidecar/ServerReporter.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/ServerReporter.java
@@ -18,7 +18,7 @@
  */
 final class ServerReporter {
 
-	private static final long INTERVAL_MS = 500;
+	private static final long INTERVAL_MS = 2000;
 
 	private static final long CHANGE_DELAY_MS = 20;
 
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -56,6 +56,8 @@
 
 	private static final long PLATFORM_TIMEOUT_MS = 2000;
 
+	private static final long RECORDS_POLL_MS = 3000;
+
 	private static final long CRASH_APPEND_TIMEOUT_MS = 60_000;
 
 	/** Time for entries to learn of a drain before the last connection is closed. */
@@ -71,7 +73,7 @@
 
 	private final ControlFollower follower = new ControlFollower(this.controlThread, MonotonicClock.SYSTEM);
 
-	private final RecordSubscription subscription = new RecordSubscription(this.follower, () -> true);
+	private final RecordSubscription subscription = new RecordSubscription(this.follower, () -> true, RECORDS_POLL_MS);
 
 	private final ServerGate gate = new ServerGate();
 
--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -196,6 +196,12 @@
 		publishVms();
 	}
 
+	/** Lists a VM whose process the caller runs itself. */
+	public synchronized void register(String name, String dataCentre, int port, String role, String service,
+			JavaProcess owner) throws IOException {
+		register(new Vm(name, dataCentre, port, role, service, false, owner));
+	}
+
 	public synchronized void unregister(String vm) throws IOException {
 		this.vms.remove(vm);
 		publishVms();
