--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -41,6 +41,7 @@
 import io.anvilusher.entry.http.HttpFront;
 import io.anvilusher.entry.http.RequestFilters;
 import io.anvilusher.logic.fold.ControlState;
+import io.anvilusher.logic.fold.KeyState;
 import io.anvilusher.logic.routing.PrefixAffinePicker;
 import io.anvilusher.model.config.Configuration;
 import io.anvilusher.protocol.generated.PeerMessages.Hello;
@@ -89,6 +90,8 @@
 
 	private final FleetWatcher fleet;
 
+	private final EntryPeers peers;
+
 	private final ControlPlane plane;
 
 	private final HttpFront front;
@@ -115,23 +118,23 @@
 		UsageMeter usage = new UsageMeter();
 		SuspectBook suspects = new SuspectBook(this.follower, appender);
 		this.dispatcher = new Dispatcher(this.directory, registry, claims, suspects, this.follower, usage, this.meters);
-		EntryPeers peers = new EntryPeers(this.directory, registry, this.dispatcher, claims, suspects, feed,
-				subscription, (flush) -> this.plane().onUsageFlush(flush),
+		this.peers = new EntryPeers(this.directory, registry, this.dispatcher, claims, suspects, feed, subscription,
+				(flush) -> this.plane().onUsageFlush(flush),
 				(connection) -> this.controlThread.run(() -> this.fleet().notifyLeaving(connection)));
 		Hello hello = hello();
 		this.fleet = new FleetWatcher(settings.process(),
 				new VmList(platform, settings.platform(), PLATFORM_TIMEOUT_MS), this.directory, this.controlThread,
-				(address) -> PeerLink.open(this.group, address, hello, PeerTiming.DEFAULT, peers));
+				(address) -> PeerLink.open(this.group, address, hello, PeerTiming.DEFAULT, this.peers));
 		this.plane = new ControlPlane(this.identity, this.follower, appender, () -> this.configuration,
 				settings.control(), this.fleet, this.directory, usage,
 				new ServerOrdering(platform, settings.platform(), PLATFORM_TIMEOUT_MS),
-				new UsageReports(platform, settings.platform(), PLATFORM_TIMEOUT_MS), peers::entry);
+				new UsageReports(platform, settings.platform(), PLATFORM_TIMEOUT_MS), this.peers::entry);
 		this.freshness = new ControlFreshness(this.follower, subscription, this.fleet::hasOtherEntries);
 		this.follower.addListener(this::onState);
 		this.front = new HttpFront(settings, RequestFilters.chain(settings, () -> this.follower.state().keys(),
-				peers::isWithdrawn, this.freshness, this.dispatcher), () -> this.configuration, MonotonicClock.SYSTEM,
-				this.meters);
-		this.peerServer = PeerServer.start(this.group, settings.peerAddress(), hello, PeerTiming.DEFAULT, peers);
+				this.peers::isWithdrawn, this.freshness, this.dispatcher), () -> this.configuration,
+				MonotonicClock.SYSTEM, this.meters);
+		this.peerServer = PeerServer.start(this.group, settings.peerAddress(), hello, PeerTiming.DEFAULT, this.peers);
 		this.admin = AdminServer.start(settings.adminAddress(), this.meters, this::isReady, () -> EntryStatus
 			.write(this.identity, this.follower, this.directory, this.dispatcher, this.fleet, this.plane));
 		subscription.start();
@@ -179,6 +182,9 @@
 	}
 
 	private void onState(ControlState before, ControlState after) {
+		if (before.appliedOffset() > 0) {
+			KeyState.withdrawnSince(before.keys(), after.keys()).forEach(this.peers::withdraw);
+		}
 		if (before.configuration().equals(after.configuration())) {
 			return;
 		}
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/Dispatcher.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/Dispatcher.java
@@ -52,7 +52,9 @@
 	/** Longest time to the answer's head, as a multiple of the service's target. */
 	private static final long HEAD_TARGET_MULTIPLE = 10;
 
-	private static final long SWEEP_MS = 20;
+	private static final long SWEEP_MS = 100;
+
+	private static final long TIMER_TICK_MS = 25;
 
 	private static final long MAX_HELD_BODY_BYTES = 64L * 1024 * 1024;
 
@@ -76,7 +78,7 @@
 
 	private final RetryPolicy retryPolicy = new RetryPolicy();
 
-	private final HashedWheelTimer timer = new HashedWheelTimer(10, TimeUnit.MILLISECONDS);
+	private final HashedWheelTimer timer = new HashedWheelTimer(TIMER_TICK_MS, TimeUnit.MILLISECONDS);
 
 	private final Map<String, ServiceLane> lanes = new ConcurrentHashMap<>();
 
--- a/entry/src/main/java/io/anvilusher/entry/http/DispatchFilter.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/DispatchFilter.java
@@ -19,6 +19,7 @@
 import io.anvilusher.logic.key.PresentedKey;
 import io.anvilusher.model.config.RouteSpec;
 import io.anvilusher.model.config.ServiceSpec;
+import io.anvilusher.model.config.WorkspaceSpec;
 import io.anvilusher.model.request.AnswerHeader;
 
 /**
@@ -26,13 +27,16 @@
  */
 final class DispatchFilter implements RequestFilter {
 
+	/** Header by which engines know urgent work; callers cannot set it. */
+	private static final HttpString PRIORITY = new HttpString("X-Request-Priority");
+
 	/**
 	 * Headers that end at this entry: those of the connection and those that carry keys.
 	 */
 	private static final Set<HttpString> DROPPED = Set.of(Headers.AUTHORIZATION, KeyFilter.API_KEY, Headers.CONNECTION,
 			Headers.TRANSFER_ENCODING, Headers.CONTENT_LENGTH, Headers.HOST, Headers.EXPECT, Headers.UPGRADE,
 			Headers.TE, Headers.TRAILER, new HttpString("Keep-Alive"), new HttpString("Proxy-Connection"),
-			new HttpString("Proxy-Authorization"), RequestIds.HEADER);
+			new HttpString("Proxy-Authorization"), RequestIds.HEADER, PRIORITY);
 
 	private final Dispatcher dispatcher;
 
@@ -67,6 +71,8 @@
 			}
 		}
 		headers.add(new AnswerHeader(RequestIds.HEADER.toString(), exchange.requestId()));
+		boolean urgent = exchange.workspace().map(WorkspaceSpec::urgent).orElse(false);
+		headers.add(new AnswerHeader(PRIORITY.toString(), urgent ? "1" : "0"));
 		return headers;
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/fold/KeyState.java
+++ b/logic/src/main/java/io/anvilusher/logic/fold/KeyState.java
@@ -1,5 +1,6 @@
 package io.anvilusher.logic.fold;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -31,6 +32,24 @@
 		return Optional.ofNullable(this.byId.get(keyId));
 	}
 
+	/**
+	 * Lists the keys that were withdrawn between two states.
+	 * @param before the earlier state
+	 * @param after the later state
+	 * @return the public parts of the keys
+	 */
+	public static List<String> withdrawnSince(KeyState before, KeyState after) {
+		if (before.byId == after.byId) {
+			return List.of();
+		}
+		return after.byId.values()
+			.stream()
+			.filter(WorkspaceKey::withdrawn)
+			.map(WorkspaceKey::keyId)
+			.filter((keyId) -> before.find(keyId).filter(WorkspaceKey::withdrawn).isEmpty())
+			.toList();
+	}
+
 	Folded<KeyState> grant(KeyGranted fact) {
 		if (this.byId.containsKey(fact.keyId())) {
 			return Folded.refused(this, Verdict.STALE_BASE);
--- a/logic/src/main/java/io/anvilusher/logic/order/OrderStep.java
+++ b/logic/src/main/java/io/anvilusher/logic/order/OrderStep.java
@@ -1,6 +1,9 @@
 package io.anvilusher.logic.order;
 
+import java.util.Optional;
+
 import io.anvilusher.logic.fold.ServerOrders;
+import io.anvilusher.model.fact.OrderSettled;
 import io.anvilusher.model.order.EngineOrder;
 
 /**
@@ -12,16 +15,23 @@
 	 * Decides on the next step.
 	 * @param orders the orders of the server
 	 * @param incarnation incarnation of the sidecar, the only one that runs
+	 * @param known the newest outcome that the sidecar has found out, which may be that
+	 * of an earlier order
 	 * @return the step
 	 */
-	static OrderStep next(ServerOrders orders, String incarnation) {
+	static OrderStep next(ServerOrders orders, String incarnation, Optional<OrderSettled> known) {
 		if (orders.open().isEmpty()) {
 			return new Idle();
 		}
 		EngineOrder order = orders.open().get();
 		// An order that an earlier incarnation has started is taken over by starting it
 		// again.
-		return order.startedBy().equals(incarnation) ? new Execute(order) : new Start(order);
+		if (!order.startedBy().equals(incarnation)) {
+			return new Start(order);
+		}
+		return known.filter((outcome) -> outcome.orderId().equals(order.orderId()))
+			.<OrderStep>map(Settle::new)
+			.orElseGet(() -> new Execute(order));
 	}
 
 	/**
@@ -40,6 +50,15 @@
 
 	}
 
+	/**
+	 * The outcome of the order is known but not yet accepted by the log.
+	 *
+	 * @param outcome the outcome
+	 */
+	record Settle(OrderSettled outcome) implements OrderStep {
+
+	}
+
 	/**
 	 * The log has accepted that this sidecar starts the order: hand it to the engine.
 	 *
--- a/sidecar/src/main/java/io/anvilusher/sidecar/order/OrderExecutor.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/order/OrderExecutor.java
@@ -84,10 +84,13 @@
 		if (this.busy) {
 			return;
 		}
-		OrderStep step = OrderStep.next(this.follower.state().orders().of(this.server), this.incarnation);
+		OrderStep step = OrderStep.next(this.follower.state().orders().of(this.server), this.incarnation, this.outcome);
 		if (step instanceof OrderStep.Start start) {
 			prepare(start.order());
 		}
+		else if (step instanceof OrderStep.Settle settle) {
+			append(settle.outcome());
+		}
 		else if (step instanceof OrderStep.Execute execute) {
 			execute(execute.order());
 		}
@@ -107,10 +110,6 @@
 	}
 
 	private void execute(EngineOrder order) {
-		if (this.outcome.isPresent()) {
-			append(this.outcome.get());
-			return;
-		}
 		setChanging(true);
 		this.busy = true;
 		// Whatever an earlier incarnation has handed over is waited for before anything
--- a/verification/src/test/java/io/anvilusher/standin/EngineStandIn.java
+++ b/verification/src/test/java/io/anvilusher/standin/EngineStandIn.java
@@ -5,10 +5,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -31,6 +33,8 @@
 
 	private static final int CACHE_ENTRIES = 64;
 
+	private static final int MAX_BATCH = 2048;
+
 	private final Undertow undertow;
 
 	private final boolean fences;
@@ -52,6 +56,9 @@
 
 	private final List<ObjectNode> orders = new ArrayList<>();
 
+	private final PriorityQueue<Generation> waiting = new PriorityQueue<>(
+			Comparator.comparingInt((Generation generation) -> -generation.priority));
+
 	private boolean recording;
 
 	private long highestToken;
@@ -171,9 +178,33 @@
 		}
 		JsonNode request = parse(body);
 		long prefillMs = note(exchange, text, request);
-		Generation generation = new Generation(exchange, request);
+		String priority = exchange.getRequestHeaders().getFirst("X-Request-Priority");
+		Generation generation = new Generation(exchange, request, prefillMs,
+				(priority != null) ? Integer.parseInt(priority) : 0);
 		exchange.dispatch();
-		exchange.getIoThread().executeAfter(generation::begin, prefillMs, TimeUnit.MILLISECONDS);
+		admit(generation);
+	}
+
+	private void admit(Generation generation) {
+		synchronized (this) {
+			if (this.running >= MAX_BATCH) {
+				this.waiting.add(generation);
+				return;
+			}
+			this.running++;
+		}
+		generation.schedule();
+	}
+
+	private void leaveBatch() {
+		Generation next;
+		synchronized (this) {
+			next = this.waiting.poll();
+			this.running -= (next != null) ? 0 : 1;
+		}
+		if (next != null) {
+			next.schedule();
+		}
 	}
 
 	private synchronized long note(HttpServerExchange exchange, String text, JsonNode request) {
@@ -189,10 +220,6 @@
 		return (long) (tokens * this.prefillMsPerToken * (cached ? 0.1 : 1));
 	}
 
-	private synchronized void changeRunning(int by) {
-		this.running += by;
-	}
-
 	@Override
 	public void close() {
 		this.undertow.stop();
@@ -203,6 +230,10 @@
 
 		private final HttpServerExchange exchange;
 
+		private final long prefillMs;
+
+		private final int priority;
+
 		private final boolean stream;
 
 		private final int tokens;
@@ -217,18 +248,23 @@
 
 		private StreamSinkChannel channel;
 
-		Generation(HttpServerExchange exchange, JsonNode request) {
+		Generation(HttpServerExchange exchange, JsonNode request, long prefillMs, int priority) {
 			this.exchange = exchange;
+			this.prefillMs = prefillMs;
+			this.priority = priority;
 			this.stream = request.path("stream").asBoolean();
 			this.tokens = request.path("max_tokens").asInt(8);
 			this.tag = request.path("user").asText("t");
 			this.promptTokens = request.path("messages").toString().length() / 4;
 		}
 
+		void schedule() {
+			this.exchange.getIoThread().executeAfter(this::begin, this.prefillMs, TimeUnit.MILLISECONDS);
+		}
+
 		void begin() {
-			changeRunning(1);
 			this.exchange.addExchangeCompleteListener((ended, next) -> {
-				changeRunning(-1);
+				leaveBatch();
 				next.proceed();
 			});
 			if (!this.stream) {
--- a/verification/src/test/java/io/anvilusher/standin/PlatformStandIn.java
+++ b/verification/src/test/java/io/anvilusher/standin/PlatformStandIn.java
@@ -26,6 +26,8 @@
 
 	private static final int MAX_READ = 500;
 
+	private static final long WEIGHTS_INTERVAL_NANOS = 200_000_000;
+
 	private final Undertow undertow;
 
 	private final List<String> records = new ArrayList<>();
@@ -36,6 +38,8 @@
 
 	private JsonNode vms = MAPPER.createArrayNode();
 
+	private long weightsReadNanos = System.nanoTime() - WEIGHTS_INTERVAL_NANOS;
+
 	private boolean logDown;
 
 	private boolean vmListDown;
@@ -81,6 +85,9 @@
 		else if (path.startsWith("/servers/") || path.startsWith("/usage/")) {
 			handleCall(exchange, method, path, body);
 		}
+		else if (path.startsWith("/weights/")) {
+			handleWeights(exchange);
+		}
 		else if (path.startsWith("/control/")) {
 			handleControl(exchange, path, body);
 		}
@@ -155,6 +162,15 @@
 		return root.toString();
 	}
 
+	/** The weight store lets one reader start in each interval. */
+	private synchronized void handleWeights(HttpServerExchange exchange) {
+		boolean limited = System.nanoTime() - this.weightsReadNanos < WEIGHTS_INTERVAL_NANOS;
+		if (!limited) {
+			this.weightsReadNanos = System.nanoTime();
+		}
+		StandInServer.json(exchange, limited ? 429 : 200, "{}");
+	}
+
 	private void handleCall(HttpServerExchange exchange, String method, String path, String body) throws IOException {
 		ObjectNode call = MAPPER.createObjectNode();
 		call.put("method", method).put("path", path).put("body", body);
