--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -27,6 +27,7 @@
 import io.anvilusher.adapters.platform.ServerOrdering;
 import io.anvilusher.adapters.platform.UsageReports;
 import io.anvilusher.adapters.platform.VmList;
+import io.anvilusher.adapters.process.LogContext;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.adapters.process.ProcessIdentity;
 import io.anvilusher.entry.claim.ClaimDesk;
@@ -107,6 +108,7 @@
 	private Entry(EntrySettings settings) {
 		this.settings = settings;
 		this.identity = ProcessIdentity.start(settings.process(), settings.dataCentre());
+		LogContext.set(this.identity);
 		HttpCaller platform = new HttpCaller(this.platformClient);
 		PlatformLog log = new HttpPlatformLog(platform, settings.platform(), PLATFORM_TIMEOUT_MS);
 		this.logReader = new LogReader(log, this.follower, this.meters);
--- a/entry/src/main/java/io/anvilusher/entry/dispatch/DispatchedCall.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/DispatchedCall.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import com.google.protobuf.ByteString;
+import net.logstash.logback.argument.StructuredArguments;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -301,7 +302,8 @@
 		}
 		AttemptFailure failure = failureOf(outcome);
 		this.dispatcher.meters().retried(this.request.service().name(), failure);
-		LOGGER.info("Request {} is tried again: {}", this.request.requestId(), failure);
+		LOGGER.info("Request {} is tried again: {}", StructuredArguments.value("request_id", this.request.requestId()),
+				StructuredArguments.value("reason", failure.label()));
 		this.dispatcher.after(delayBefore(decision), this::begin);
 	}
 
@@ -396,8 +398,11 @@
 		this.sink.refuse(reason, detail);
 		count("refused");
 		this.dispatcher.meters().refused(this.request.service().name(), reason);
-		LOGGER.info("Request {} of workspace {} refused: {}", this.request.requestId(), this.request.workspaceName(),
-				reason);
+		LOGGER.info("Request {} of workspace {} on service {} refused: {}",
+				StructuredArguments.value("request_id", this.request.requestId()),
+				StructuredArguments.value("workspace", this.request.workspaceName()),
+				StructuredArguments.value("service", this.request.service().name()),
+				StructuredArguments.value("reason", reason.code()));
 		this.dispatcher.onFinished(this);
 	}
 
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -22,6 +22,7 @@
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.platform.HttpPlatformLog;
+import io.anvilusher.adapters.process.LogContext;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.adapters.process.ProcessIdentity;
 import io.anvilusher.logic.fold.ControlState;
@@ -102,6 +103,7 @@
 	private Sidecar(SidecarSettings settings) {
 		this.settings = settings;
 		this.identity = ProcessIdentity.start(settings.process(), settings.dataCentre());
+		LogContext.set(this.identity);
 		this.reporter = new ServerReporter(settings, this.identity, this.follower, this.gate);
 		this.attempts = new AttemptHandler(this.identity, MonotonicClock.SYSTEM, this.gate, this.client,
 				settings.backend(), this.meters, this::onAttemptEnded);
--- a/sidecar/src/main/java/io/anvilusher/sidecar/attempt/AttemptHandler.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/AttemptHandler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
+import net.logstash.logback.argument.StructuredArguments;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -141,8 +142,12 @@
 					ended.failure().map(AttemptFailure::label).orElse("answered"))
 			.increment();
 		ended.failure()
-			.ifPresent((failure) -> LOGGER.info("Attempt {} of request {} ended: {}", start.getAttemptId(),
-					start.getRequestId(), failure));
+			.ifPresent((failure) -> LOGGER.info("Attempt {} of request {} of workspace {} on service {} ended: {}",
+					StructuredArguments.value("attempt_id", start.getAttemptId()),
+					StructuredArguments.value("request_id", start.getRequestId()),
+					StructuredArguments.value("workspace", start.getWorkspace()),
+					StructuredArguments.value("service", start.getService()),
+					StructuredArguments.value("reason", failure.label())));
 		this.gate.leave();
 		this.endListener.onAttemptEnded(start, ended.failure(), others);
 	}
