--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -4,6 +4,8 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
@@ -27,6 +29,11 @@
  */
 final class ClientCall implements RunningCall {
 
+	private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
+
+	/** Part of a server's keep-alive time during which its connection is used. */
+	private static final double KEEP_ALIVE_SHARE = 0.8;
+
 	private final StreamingHttpClient client;
 
 	private final HttpCall call;
@@ -41,6 +48,10 @@
 
 	private boolean sent;
 
+	private boolean bodyWritten;
+
+	private long keepAliveMs = StreamingHttpClient.DEFAULT_KEEP_ALIVE_MS;
+
 	private boolean ended;
 
 	private boolean paused;
@@ -61,6 +72,10 @@
 			return;
 		}
 		this.connection = opened;
+		if (!opened.isOpen()) {
+			fail(new IOException("Connection closed before the request was sent"));
+			return;
+		}
 		this.sent = true;
 		this.listener.onSending();
 		opened.sendRequest(request(), new ClientCallback<>() {
@@ -84,8 +99,10 @@
 			.setPath(this.call.path());
 		this.call.headers()
 			.forEach((header) -> request.getRequestHeaders().add(new HttpString(header.name()), header.value()));
-		request.getRequestHeaders().put(Headers.HOST, this.call.target().getAuthority());
-		if (this.call.body().length > 0) {
+		if (!request.getRequestHeaders().contains(Headers.HOST)) {
+			request.getRequestHeaders().put(Headers.HOST, this.call.target().getAuthority());
+		}
+		if (this.call.body().length > 0 || this.call.method().equals("POST") || this.call.method().equals("PUT")) {
 			request.getRequestHeaders().put(Headers.CONTENT_LENGTH, this.call.body().length);
 		}
 		return request;
@@ -93,6 +110,7 @@
 
 	private void writeBody(ClientExchange exchange) {
 		if (this.call.body().length == 0) {
+			this.bodyWritten = true;
 			return;
 		}
 		ByteBuffer body = ByteBuffer.wrap(this.call.body());
@@ -111,6 +129,7 @@
 			}
 			sink.shutdownWrites();
 			if (sink.flush()) {
+				this.bodyWritten = true;
 				sink.suspendWrites();
 			}
 			else {
@@ -147,6 +166,7 @@
 		for (HeaderValues values : response.getResponseHeaders()) {
 			values.forEach((value) -> headers.add(new AnswerHeader(values.getHeaderName().toString(), value)));
 		}
+		this.keepAliveMs = keepAliveMs(response.getResponseHeaders().getFirst("Keep-Alive"));
 		boolean framed = response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
 				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING) || isBodiless(response);
 		this.listener.onHead(response.getResponseCode(), headers, framed);
@@ -158,6 +178,17 @@
 		}
 	}
 
+	/**
+	 * Reads how long the server keeps the connection without a request.
+	 * @param header value of the answer's Keep-Alive header, or null
+	 * @return milliseconds, less a part for the time that a request takes to arrive
+	 */
+	private static long keepAliveMs(@Nullable String header) {
+		Matcher matcher = KEEP_ALIVE_TIMEOUT.matcher((header != null) ? header : "");
+		return matcher.find() ? (long) (Long.parseLong(matcher.group(1)) * 1000 * KEEP_ALIVE_SHARE)
+				: StreamingHttpClient.DEFAULT_KEEP_ALIVE_MS;
+	}
+
 	private boolean isBodiless(ClientResponse response) {
 		return response.getResponseCode() == 204 || response.getResponseCode() == 304
 				|| this.call.method().equals("HEAD");
@@ -192,8 +223,12 @@
 			return;
 		}
 		this.ended = true;
-		if (this.connection != null) {
-			this.client.keep(this.call.target(), this.connection);
+		if (this.connection != null && this.bodyWritten) {
+			this.client.keep(this.call.target(), this.connection, this.keepAliveMs);
+		}
+		else {
+			// The server would take the next request for the rest of this body.
+			IoUtils.safeClose(this.connection);
 		}
 		this.listener.onEnd();
 	}
@@ -209,6 +244,17 @@
 		this.listener.onFailure(this.sent, cause);
 	}
 
+	/**
+	 * Gives the call up if its connection has not opened yet.
+	 * @param timeoutMs time that it had
+	 */
+	void onConnectTimeout(long timeoutMs) {
+		if (this.connection == null && !this.ended) {
+			this.cancelled = true;
+			fail(new IOException("No connection within " + timeoutMs + " ms"));
+		}
+	}
+
 	private void onThread(Runnable task) {
 		if (Thread.currentThread() == this.thread) {
 			task.run();
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -20,9 +20,12 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
+import io.anvilusher.adapters.process.MonotonicClock;
+
 /**
  * Makes HTTP calls over Undertow's client and keeps connections that can serve another
  * call.
@@ -37,7 +40,19 @@
 
 	private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
 
-	private final Map<URI, Deque<ClientConnection>> idle = new ConcurrentHashMap<>();
+	/**
+	 * Idle time after which a connection is not used again, in ms. Source: common server
+	 * defaults.
+	 */
+	static final long DEFAULT_KEEP_ALIVE_MS = 4_000;
+
+	/**
+	 * Time for a connection to open, in ms. Source: some round trips between data
+	 * centres.
+	 */
+	private static final long CONNECT_TIMEOUT_MS = 700;
+
+	private final Map<URI, Deque<Idle>> idle = new ConcurrentHashMap<>();
 
 	private StreamingHttpClient(XnioWorker worker) {
 		this.worker = worker;
@@ -66,6 +81,16 @@
 		}
 	}
 
+	/**
+	 * Creates a client on the threads of a server, so that both sides of a request are
+	 * handled by one thread.
+	 * @param worker the threads
+	 * @return the client
+	 */
+	public static StreamingHttpClient on(XnioWorker worker) {
+		return new StreamingHttpClient(worker);
+	}
+
 	/**
 	 * Starts a call.
 	 * @param call the call
@@ -76,7 +101,12 @@
 		ClientConnection kept = call.freshConnection() ? null : takeIdle(call.target());
 		if (kept != null) {
 			ClientCall running = new ClientCall(this, call, listener, kept.getIoThread());
-			kept.getIoThread().execute(() -> running.send(kept));
+			if (Thread.currentThread() == kept.getIoThread()) {
+				running.send(kept);
+			}
+			else {
+				kept.getIoThread().execute(() -> running.send(kept));
+			}
 			return running;
 		}
 		XnioIoThread thread = this.worker.getIoThread();
@@ -86,16 +116,20 @@
 	}
 
 	private void connect(HttpCall call, XnioIoThread thread, ClientCall running) {
+		XnioExecutor.Key timeout = thread.executeAfter(() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS),
+				CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
 		UndertowClient.getInstance().connect(new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
+				timeout.remove();
 				connection.addCloseListener((closed) -> forget(call.target(), connection));
 				connection.getIoThread().execute(() -> running.send(connection));
 			}
 
 			@Override
 			public void failed(IOException ex) {
+				timeout.remove();
 				thread.execute(() -> running.fail(ex));
 			}
 
@@ -114,20 +148,25 @@
 	}
 
 	private @Nullable ClientConnection takeIdle(URI target) {
-		Deque<ClientConnection> connections = this.idle.get(target);
+		Deque<Idle> connections = this.idle.get(target);
+		long nowMs = MonotonicClock.SYSTEM.nowMs();
 		while (connections != null) {
-			ClientConnection connection = connections.pollLast();
-			if (connection == null || connection.isOpen()) {
-				return connection;
+			Idle kept = connections.pollLast();
+			if (kept == null) {
+				return null;
+			}
+			if (kept.connection().isOpen() && nowMs < kept.untilMs()) {
+				return kept.connection();
 			}
+			IoUtils.safeClose(kept.connection());
 		}
 		return null;
 	}
 
 	private void forget(URI target, ClientConnection connection) {
-		Deque<ClientConnection> connections = this.idle.get(target);
+		Deque<Idle> connections = this.idle.get(target);
 		if (connections != null) {
-			connections.remove(connection);
+			connections.removeIf((kept) -> kept.connection() == connection);
 		}
 	}
 
@@ -135,19 +174,30 @@
 		return this.buffers.allocate();
 	}
 
-	void keep(URI target, ClientConnection connection) {
-		Deque<ClientConnection> connections = this.idle.computeIfAbsent(target, (key) -> new ConcurrentLinkedDeque<>());
+	void keep(URI target, ClientConnection connection, long keepAliveMs) {
+		Deque<Idle> connections = this.idle.computeIfAbsent(target, (key) -> new ConcurrentLinkedDeque<>());
 		if (!connection.isOpen() || connections.size() >= MAX_IDLE_PER_TARGET) {
 			IoUtils.safeClose(connection);
 			return;
 		}
-		connections.addLast(connection);
+		connections.addLast(new Idle(connection, MonotonicClock.SYSTEM.nowMs() + keepAliveMs));
 	}
 
 	@Override
 	public void close() {
-		this.idle.values().forEach((connections) -> connections.forEach(IoUtils::safeClose));
+		this.idle.values()
+			.forEach((connections) -> connections.forEach((kept) -> IoUtils.safeClose(kept.connection())));
 		this.worker.shutdown();
 	}
 
+	/**
+	 * A connection without a request.
+	 *
+	 * @param connection the connection
+	 * @param untilMs time until which it may be used
+	 */
+	private record Idle(ClientConnection connection, long untilMs) {
+
+	}
+
 }
--- a/entry/src/main/java/io/anvilusher/entry/http/UndertowAnswerSink.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/UndertowAnswerSink.java
@@ -1,19 +1,14 @@
 package io.anvilusher.entry.http;
 
-import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 
 import com.google.protobuf.ByteString;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
-import org.jspecify.annotations.Nullable;
-import org.xnio.IoUtils;
-import org.xnio.channels.StreamSinkChannel;
 
+import io.anvilusher.adapters.http.AnswerWriter;
+import io.anvilusher.adapters.http.CallerWatch;
 import io.anvilusher.entry.dispatch.AnswerSink;
 import io.anvilusher.model.request.AnswerHeader;
 import io.anvilusher.model.request.RefusalReason;
@@ -27,51 +22,38 @@
 
 	private static final HttpString RUN_STATE = new HttpString("X-Run-State");
 
+	private static final Runnable NOTHING = () -> {
+	};
+
 	private final HttpServerExchange exchange;
 
 	private final String requestId;
 
-	private final Deque<Part> parts = new ArrayDeque<>();
-
-	private @Nullable StreamSinkChannel channel;
+	private final AnswerWriter writer;
 
 	private boolean eventStream;
 
-	private boolean ending;
-
-	private boolean aborting;
-
-	private boolean closed;
-
 	private volatile boolean answered;
 
 	UndertowAnswerSink(HttpServerExchange exchange, String requestId) {
 		this.exchange = exchange;
 		this.requestId = requestId;
-	}
-
-	private void onIoThread(Runnable task) {
-		if (this.exchange.isInIoThread()) {
-			task.run();
-			return;
-		}
-		this.exchange.getIoThread().execute(task);
+		this.writer = new AnswerWriter(exchange);
 	}
 
 	@Override
 	public void answer(int status, List<AnswerHeader> headers, ByteString body) {
 		this.answered = true;
-		onIoThread(() -> {
+		this.writer.onIoThread(() -> {
 			if (this.exchange.isResponseStarted()) {
 				return;
 			}
 			putHead(status, headers);
 			this.exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.size());
-			this.parts.addLast(new Part(body.asReadOnlyByteBuffer(), () -> {
-			}));
-			this.ending = true;
-			openChannel();
-			drain();
+			this.writer.add(body.asReadOnlyByteBuffer(), NOTHING);
+			this.writer.end();
+			this.writer.open();
+			this.writer.drain();
 		});
 	}
 
@@ -82,43 +64,33 @@
 		this.exchange.getResponseHeaders().put(RequestIds.HEADER, this.requestId);
 	}
 
-	private void openChannel() {
-		StreamSinkChannel opened = this.exchange.getResponseChannel();
-		if (opened == null) {
-			this.closed = true;
-			return;
-		}
-		this.channel = opened;
-		opened.getWriteSetter().set((ready) -> drain());
-	}
-
 	@Override
 	public void begin(int status, List<AnswerHeader> headers) {
-		onIoThread(() -> {
+		this.writer.onIoThread(() -> {
 			if (this.exchange.isResponseStarted()) {
 				return;
 			}
 			putHead(status, headers);
 			String type = this.exchange.getResponseHeaders().getFirst(Headers.CONTENT_TYPE);
 			this.eventStream = type != null && type.startsWith("text/event-stream");
-			openChannel();
+			this.writer.open();
 		});
 	}
 
 	@Override
 	public void write(ByteString data, Runnable onWritten) {
-		onIoThread(() -> {
-			this.parts.addLast(new Part(data.asReadOnlyByteBuffer(), onWritten));
-			drain();
+		this.writer.onIoThread(() -> {
+			this.writer.add(data.asReadOnlyByteBuffer(), onWritten);
+			this.writer.drain();
 		});
 	}
 
 	@Override
 	public void end() {
 		this.answered = true;
-		onIoThread(() -> {
-			this.ending = true;
-			drain();
+		this.writer.onIoThread(() -> {
+			this.writer.end();
+			this.writer.drain();
 		});
 	}
 
@@ -126,8 +98,8 @@
 	public void refuse(RefusalReason reason, String detail) {
 		this.answered = true;
 		ByteString body = ErrorBody.write(reason, detail, this.requestId);
-		onIoThread(() -> {
-			if (this.channel == null && !this.exchange.isResponseStarted()) {
+		this.writer.onIoThread(() -> {
+			if (!this.writer.isOpen() && !this.exchange.isResponseStarted()) {
 				refuseWhole(reason, body);
 				return;
 			}
@@ -135,11 +107,10 @@
 				ByteString event = ByteString.copyFromUtf8("data: ")
 					.concat(body)
 					.concat(ByteString.copyFromUtf8("\n\n"));
-				this.parts.addLast(new Part(event.asReadOnlyByteBuffer(), () -> {
-				}));
+				this.writer.add(event.asReadOnlyByteBuffer(), NOTHING);
 			}
-			this.aborting = true;
-			drain();
+			this.writer.abort();
+			this.writer.drain();
 		});
 	}
 
@@ -162,61 +133,4 @@
 		});
 	}
 
-	private void drain() {
-		StreamSinkChannel out = this.channel;
-		if (this.closed || out == null) {
-			return;
-		}
-		try {
-			if (!writeParts(out)) {
-				out.resumeWrites();
-				return;
-			}
-			if (this.aborting) {
-				out.flush();
-				close();
-				return;
-			}
-			if (this.ending) {
-				out.shutdownWrites();
-			}
-			if (!out.flush()) {
-				out.resumeWrites();
-				return;
-			}
-			out.suspendWrites();
-			if (this.ending) {
-				this.closed = true;
-				this.exchange.endExchange();
-			}
-		}
-		catch (IOException ex) {
-			close();
-		}
-	}
-
-	private boolean writeParts(StreamSinkChannel out) throws IOException {
-		while (!this.parts.isEmpty()) {
-			Part part = this.parts.getFirst();
-			while (part.data().hasRemaining()) {
-				if (out.write(part.data()) == 0) {
-					return false;
-				}
-			}
-			this.parts.removeFirst();
-			part.onWritten().run();
-		}
-		return true;
-	}
-
-	private void close() {
-		this.closed = true;
-		this.parts.clear();
-		IoUtils.safeClose(this.exchange.getConnection());
-	}
-
-	private record Part(ByteBuffer data, Runnable onWritten) {
-
-	}
-
 }
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -0,0 +1,217 @@
+package io.anvilusher.gateway;
+
+import java.io.IOException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicReference;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+
+import io.anvilusher.adapters.control.ControlThread;
+import io.anvilusher.adapters.http.StreamingHttpClient;
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.control.RunCounter;
+import io.anvilusher.gateway.control.TableFollower;
+import io.anvilusher.gateway.control.TableFollower.ControlContext;
+import io.anvilusher.gateway.fleet.FleetBoard;
+import io.anvilusher.gateway.http.GatewayFront;
+import io.anvilusher.gateway.http.ReadyServer;
+import io.anvilusher.gateway.request.Dispatcher;
+import io.anvilusher.logic.fleet.LapseGuard;
+import io.anvilusher.logic.routing.RouteIndex;
+import io.anvilusher.model.fleet.RegisteredServer;
+import io.anvilusher.model.routing.RoutingTable;
+
+/**
+ * A gateway process: one thread for traffic, one for control state.
+ */
+public final class Gateway {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(Gateway.class);
+
+	/**
+	 * Pause between two reads of the servers' changes, in ms. Source: a part of the time
+	 * to drain.
+	 */
+	private static final long SERVERS_PAUSE_MS = 250;
+
+	/**
+	 * Pause between two reads of the routing table's changes, in ms. Source: a small part
+	 * of the time to apply one.
+	 */
+	private static final long TABLE_PAUSE_MS = 50;
+
+	/** Time after SIGTERM during which requests on kept connections are taken, in ms. */
+	private static final long DRAIN_TAKE_MS = 3_000;
+
+	/** Part of the grace time after which the process ends in any case. */
+	private static final double DRAIN_SHARE = 0.93;
+
+	private final GatewaySettings settings;
+
+	private final DeploymentAdapter adapter;
+
+	private final MonotonicClock clock = MonotonicClock.SYSTEM;
+
+	private final Meters meters = new Meters();
+
+	private final ControlThread control = new ControlThread();
+
+	private final FleetBoard fleet = new FleetBoard();
+
+	private final LapseGuard lapses = new LapseGuard();
+
+	private final AtomicReference<Optional<RouteIndex>> routes = new AtomicReference<>(Optional.empty());
+
+	private final XnioWorker worker;
+
+	private final GatewayFront front;
+
+	private Map<String, RegisteredServer> registered = Map.of();
+
+	private volatile boolean serversKnown;
+
+	private volatile boolean draining;
+
+	private Gateway(GatewaySettings settings, AdapterFactory factory) throws IOException {
+		this.settings = settings;
+		this.worker = Xnio.getInstance()
+			.createWorker(OptionMap.builder()
+				.set(Options.WORKER_IO_THREADS, 1)
+				.set(Options.WORKER_NAME, "traffic")
+				.set(Options.WORKER_TASK_CORE_THREADS, 1)
+				.set(Options.WORKER_TASK_MAX_THREADS, 1)
+				.set(Options.TCP_NODELAY, true)
+				.set(Options.THREAD_DAEMON, true)
+				.getMap());
+		StreamingHttpClient client = StreamingHttpClient.on(this.worker);
+		this.adapter = factory.create(settings, client);
+		XnioIoThread thread = this.worker.getIoThread();
+		Random random = new Random();
+		RunCounter runs = (workspace) -> {
+		};
+		Dispatcher dispatcher = new Dispatcher(
+				new Dispatcher.Parts(this.fleet, this.adapter.format(), client, this.meters, runs, this.clock, thread,
+						random),
+				settings.dataCentre(), new Dispatcher.RetryTerms(settings.retryRatio(), settings.retryWindowMs()));
+		this.front = new GatewayFront(settings.callerAddress(), this.worker, this.adapter.format(), dispatcher,
+				this.routes::get, this.clock, this.meters, random);
+	}
+
+	/**
+	 * Starts a gateway.
+	 * @param settings its settings
+	 * @param factory creates the adapter of the deployment
+	 * @return the running gateway
+	 * @throws IOException if its threads or its addresses are not to be had
+	 */
+	public static Gateway start(GatewaySettings settings, AdapterFactory factory) throws IOException {
+		Gateway gateway = new Gateway(settings, factory);
+		gateway.follow();
+		gateway.front.start();
+		ReadyServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
+		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
+				settings.callerAddress());
+		return gateway;
+	}
+
+	private void follow() {
+		ControlContext context = new ControlContext(this.control, this.clock, this.meters);
+		new TableFollower<RoutingTable>("routes", this.adapter.routingTables(), this.adapter::readRoutingTable,
+				this::onRoutingTables, context, TABLE_PAUSE_MS)
+			.start();
+		new TableFollower<>("servers", this.adapter.servers(), this.adapter::readServer, new ServerListener(), context,
+				SERVERS_PAUSE_MS)
+			.start();
+	}
+
+	private void onRoutingTables(Map<String, RoutingTable> tables) {
+		Optional<RoutingTable> newest = tables.values().stream().max(Comparator.comparingLong(RoutingTable::version));
+		long inForce = this.routes.get().map((index) -> index.table().version()).orElse(Long.MIN_VALUE);
+		newest.filter((table) -> table.version() > inForce).ifPresent((table) -> {
+			this.routes.set(Optional.of(new RouteIndex(table)));
+			LOGGER.atInfo()
+				.addKeyValue("version", table.version())
+				.addKeyValue("replaces", inForce)
+				.addKeyValue("routes", table.routes().size())
+				.addKeyValue("keys", table.workspaceByKey().size())
+				.log("Routing table in force");
+		});
+	}
+
+	private boolean isReady() {
+		return !this.draining && this.serversKnown && this.routes.get().isPresent();
+	}
+
+	/**
+	 * Stops taking connections, finishes the requests in hand and gives up its duties.
+	 */
+	public void drain() {
+		this.draining = true;
+		try {
+			this.front.drain(Math.min(DRAIN_TAKE_MS, this.settings.graceMs() / 2),
+					(long) (this.settings.graceMs() * DRAIN_SHARE));
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			LOGGER.warn("Interrupted while draining; the process ends now");
+		}
+	}
+
+	private void showServers() {
+		Map<String, RegisteredServer> inUse = this.lapses.inUse(this.registered, this.clock.nowMs());
+		List<RegisteredServer> servers = List.copyOf(inUse.values());
+		this.worker.getIoThread().execute(() -> {
+			this.fleet.apply(servers);
+			this.serversKnown = true;
+		});
+	}
+
+	private final class ServerListener implements TableFollower.Listener<RegisteredServer> {
+
+		@Override
+		public void onTable(Map<String, RegisteredServer> values) {
+			Gateway.this.registered = values;
+			showServers();
+		}
+
+		@Override
+		public void onUnreachable(long nowMs) {
+			Gateway.this.lapses.onUnreachable(nowMs);
+		}
+
+		@Override
+		public void onReachable(long nowMs) {
+			Gateway.this.lapses.onReachable(nowMs);
+			Gateway.this.control.after(LapseGuard.RETURN_MS + 1, Gateway.this::showServers);
+		}
+
+	}
+
+	/**
+	 * Creates the adapter of a deployment.
+	 */
+	@FunctionalInterface
+	public interface AdapterFactory {
+
+		/**
+		 * Creates the adapter.
+		 * @param settings settings of the gateway
+		 * @param client the client for its calls
+		 * @return the adapter
+		 */
+		DeploymentAdapter create(GatewaySettings settings, StreamingHttpClient client);
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The interface for callers.
+ */
+@NullMarked
+package io.anvilusher.gateway.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/fleet/LapseGuard.java
@@ -0,0 +1,71 @@
+package io.anvilusher.logic.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.anvilusher.model.fleet.RegisteredServer;
+
+/**
+ * Keeps servers whose registration lapsed while the store was away, until they had time
+ * to register again. Load pattern: an outage of the store that ends with all
+ * registrations lapsed at once. Used from one thread.
+ */
+public final class LapseGuard {
+
+	/**
+	 * Time after the store's return by which servers are registered again, in ms. Source:
+	 * letter 2.
+	 */
+	public static final long RETURN_MS = 2_300;
+
+	private Map<String, RegisteredServer> shown = Map.of();
+
+	private long holdUntilMs = Long.MIN_VALUE / 2;
+
+	/**
+	 * Notes that the store does not answer.
+	 * @param nowMs the time
+	 */
+	public void onUnreachable(long nowMs) {
+		this.holdUntilMs = nowMs + RETURN_MS;
+	}
+
+	/**
+	 * Notes that the store answers again.
+	 * @param nowMs the time
+	 */
+	public void onReachable(long nowMs) {
+		this.holdUntilMs = nowMs + RETURN_MS;
+	}
+
+	/**
+	 * Decides which servers are in use.
+	 * @param registered the servers that are registered now
+	 * @param nowMs the time
+	 * @return those and, shortly after an outage, the ones that were in use before; a
+	 * server that registered at the address of another one replaces it
+	 */
+	public Map<String, RegisteredServer> inUse(Map<String, RegisteredServer> registered, long nowMs) {
+		Map<String, RegisteredServer> next = new HashMap<>(registered);
+		if (nowMs < this.holdUntilMs) {
+			this.shown.values()
+				.stream()
+				.filter((server) -> !server.draining())
+				.filter((server) -> registered.values()
+					.stream()
+					.noneMatch((other) -> other.address().equals(server.address())))
+				.forEach((server) -> next.putIfAbsent(server.id(), server));
+		}
+		this.shown = Map.copyOf(next);
+		return this.shown;
+	}
+
+	/**
+	 * Returns when {@link #inUse} has to be asked again without a change.
+	 * @return time in ms, maybe in the past
+	 */
+	public long holdUntilMs() {
+		return this.holdUntilMs;
+	}
+
+}
