--- a/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
@@ -2,7 +2,10 @@
 
 import java.util.Optional;
 
+import io.anvilusher.gateway.control.DutyGroup;
+import io.anvilusher.gateway.control.StoreLog;
 import io.anvilusher.gateway.control.StoreTable;
+import io.anvilusher.gateway.control.UsageCalls;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.routing.RoutingTable;
@@ -53,4 +56,22 @@
 	 */
 	Optional<RegisteredServer> readServer(String key, byte[] value);
 
+	/**
+	 * Returns the log that the gateways share for usage.
+	 * @return the log
+	 */
+	StoreLog usageLog();
+
+	/**
+	 * Returns the group whose members report usage in turn.
+	 * @return the group
+	 */
+	DutyGroup usageGroup();
+
+	/**
+	 * Returns the interface for usage reports.
+	 * @return the interface, or empty if the deployment takes none
+	 */
+	Optional<UsageCalls> usageCalls();
+
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.LongSupplier;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,15 +22,17 @@
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
-import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.control.TableFollower;
 import io.anvilusher.gateway.control.TableFollower.ControlContext;
+import io.anvilusher.gateway.control.UsageCounter;
+import io.anvilusher.gateway.control.UsageDuty;
 import io.anvilusher.gateway.fleet.FleetBoard;
 import io.anvilusher.gateway.http.GatewayFront;
 import io.anvilusher.gateway.http.ReadyServer;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.logic.fleet.LapseGuard;
 import io.anvilusher.logic.routing.RouteIndex;
+import io.anvilusher.logic.usage.SteadyTime;
 import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.routing.RoutingTable;
 
@@ -57,6 +61,12 @@
 	/** Part of the grace time after which the process ends in any case. */
 	private static final double DRAIN_SHARE = 0.93;
 
+	/**
+	 * Time to write the last counts and to give up duties, in ms. Source: some calls to
+	 * the store.
+	 */
+	private static final long LEAVE_MS = 100;
+
 	private final GatewaySettings settings;
 
 	private final DeploymentAdapter adapter;
@@ -77,6 +87,8 @@
 
 	private final GatewayFront front;
 
+	private final Optional<UsageDuty> usage;
+
 	private Map<String, RegisteredServer> registered = Map.of();
 
 	private volatile boolean serversKnown;
@@ -98,8 +110,20 @@
 		this.adapter = factory.create(settings, client);
 		XnioIoThread thread = this.worker.getIoThread();
 		Random random = new Random();
-		RunCounter runs = (workspace) -> {
+		String member = settings.process() + "-" + Long.toHexString(random.nextLong());
+		SteadyTime time = new SteadyTime(System.currentTimeMillis(), this.clock.nowMs());
+		LongSupplier trueTimeMs = () -> {
+			synchronized (time) {
+				return time.trueMs(System.currentTimeMillis(), this.clock.nowMs());
+			}
 		};
+		UsageCounter runs = new UsageCounter(trueTimeMs, settings.usageWindowMs());
+		this.usage = this.adapter.usageCalls()
+			.map((calls) -> new UsageDuty(member,
+					new UsageDuty.UsageTerms(settings.process(), settings.usageWindowMs(), settings.usageLateMs(),
+							settings.leaseMs()),
+					runs, new UsageDuty.Ports(this.adapter.usageLog(), this.adapter.usageGroup(), calls), this.control,
+					this.clock, trueTimeMs));
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Parts(this.fleet, this.adapter.format(), client, this.meters, runs, this.clock, thread,
 						random),
@@ -119,6 +143,7 @@
 		Gateway gateway = new Gateway(settings, factory);
 		gateway.follow();
 		gateway.front.start();
+		gateway.usage.ifPresent(UsageDuty::start);
 		ReadyServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
@@ -160,7 +185,9 @@
 		this.draining = true;
 		try {
 			this.front.drain(Math.min(DRAIN_TAKE_MS, this.settings.graceMs() / 2),
-					(long) (this.settings.graceMs() * DRAIN_SHARE));
+					(long) (this.settings.graceMs() * DRAIN_SHARE) - LEAVE_MS);
+			this.usage.ifPresent(UsageDuty::leave);
+			TimeUnit.MILLISECONDS.sleep(LEAVE_MS);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
@@ -0,0 +1,295 @@
+package io.anvilusher.gateway.control;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.anvilusher.adapters.control.ControlThread;
+import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.logic.usage.UsageFold;
+
+/**
+ * Brings this gateway's counts into the shared log and, while it holds the duty, seals
+ * and reports windows. Works on the control thread.
+ */
+public final class UsageDuty {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(UsageDuty.class);
+
+	/** Pause between two renewals, as a part of the lease. */
+	private static final double RENEW_SHARE = 0.3;
+
+	/** Pause between two looks at the windows, in ms. */
+	private static final long TICK_MS = 500;
+
+	/**
+	 * Time after a window's end at which counts are written, in ms. Source: clocks of
+	 * machines differ by less.
+	 */
+	private static final long FLUSH_AFTER_MS = 300;
+
+	/**
+	 * Part of the time to report after which a window is sealed; counts may come late.
+	 */
+	private static final double SEAL_SHARE = 0.4;
+
+	/** Longest wait of one read, in ms. */
+	private static final long WAIT_MS = 1_200;
+
+	/** Pause after a failed call, in ms. */
+	private static final long RETRY_MS = 300;
+
+	private final String member;
+
+	private final UsageTerms terms;
+
+	private final UsageCounter counter;
+
+	private final StoreLog log;
+
+	private final DutyGroup group;
+
+	private final UsageCalls calls;
+
+	private final ControlThread thread;
+
+	private final MonotonicClock clock;
+
+	private final LongSupplier trueTimeMs;
+
+	private final UsageFold fold = new UsageFold();
+
+	private final Set<Long> flushing = new HashSet<>();
+
+	private final Set<Long> sealing = new HashSet<>();
+
+	private final Set<Long> reporting = new HashSet<>();
+
+	private final Set<Long> reported = new HashSet<>();
+
+	private long generation;
+
+	private long fencedGeneration;
+
+	private boolean holder;
+
+	private long holderSinceMs;
+
+	private long renewedAtMs = Long.MIN_VALUE / 2;
+
+	private long readOffset;
+
+	private boolean reading;
+
+	private long caughtUpAtMs = Long.MIN_VALUE / 2;
+
+	private boolean leaving;
+
+	/**
+	 * Creates the controller.
+	 * @param member identity of this process since its start
+	 * @param terms windows and times
+	 * @param counter this gateway's counts
+	 * @param ports the log, the group and the calls
+	 * @param thread the control thread
+	 * @param clock the steady clock
+	 * @param trueTimeMs estimate of the time, in ms since 1970
+	 */
+	public UsageDuty(String member, UsageTerms terms, UsageCounter counter, Ports ports, ControlThread thread,
+			MonotonicClock clock, LongSupplier trueTimeMs) {
+		this.member = member;
+		this.terms = terms;
+		this.counter = counter;
+		this.log = ports.log();
+		this.group = ports.group();
+		this.calls = ports.calls();
+		this.thread = thread;
+		this.clock = clock;
+		this.trueTimeMs = trueTimeMs;
+	}
+
+	/**
+	 * Starts to count and to stand for the duty.
+	 */
+	public void start() {
+		this.thread.run(this::renew);
+		this.thread.every(TICK_MS, this::tick);
+	}
+
+	private void renew() {
+		if (this.leaving) {
+			return;
+		}
+		long askedAtMs = this.clock.nowMs();
+		this.group.join(this.member, this.generation, this.terms.leaseMs())
+			.thenAccept((membership) -> this.thread.run(() -> {
+				if (membership.known()) {
+					onMembership(membership, askedAtMs);
+				}
+				this.thread.after((long) (this.terms.leaseMs() * RENEW_SHARE), this::renew);
+			}));
+	}
+
+	private void onMembership(DutyGroup.Membership membership, long askedAtMs) {
+		this.renewedAtMs = askedAtMs;
+		this.generation = membership.generation();
+		if (membership.holder() != this.holder) {
+			this.holder = membership.holder();
+			this.holderSinceMs = this.clock.nowMs();
+			LOGGER.info("Usage duty: holder={}, generation={}", this.holder, this.generation);
+		}
+		if (this.holder && !this.reading) {
+			this.reading = true;
+			read();
+		}
+	}
+
+	// The lease counts from before the renewal was asked for, so that it ends here first.
+	private boolean mayAct() {
+		long nowMs = this.clock.nowMs();
+		return this.holder && !this.leaving && this.generation > this.fencedGeneration
+				&& nowMs - this.renewedAtMs < this.terms.leaseMs() && nowMs - this.holderSinceMs > this.terms.leaseMs();
+	}
+
+	private void read() {
+		if (!this.holder || this.leaving) {
+			this.reading = false;
+			return;
+		}
+		this.log.read(this.readOffset, WAIT_MS).thenAccept((answer) -> this.thread.run(() -> {
+			if (answer instanceof StoreLog.Read.Records records) {
+				records.contents().forEach((content) -> UsageRecord.decode(content).ifPresent(this::apply));
+				this.readOffset = records.nextOffset();
+				if (records.nextOffset() >= records.endOffset()) {
+					this.caughtUpAtMs = this.clock.nowMs();
+				}
+				read();
+			}
+			else if (answer instanceof StoreLog.Read.Dropped dropped) {
+				this.readOffset = dropped.firstOffset();
+				this.thread.after(RETRY_MS, this::read);
+			}
+			else {
+				this.thread.after(RETRY_MS, this::read);
+			}
+		}));
+	}
+
+	private void apply(UsageRecord entry) {
+		if (entry.isSeal()) {
+			this.fold.onSeal(entry.window(), entry.counts());
+			this.sealing.remove(entry.window());
+			reportDue();
+			return;
+		}
+		this.fold.onCounts(entry.process(), entry.window(), entry.counts());
+	}
+
+	private void tick() {
+		long nowMs = this.trueTimeMs.getAsLong();
+		flush((nowMs - FLUSH_AFTER_MS) / this.terms.windowMs());
+		reportDue();
+	}
+
+	private void flush(long beforeWindow) {
+		this.counter.before(beforeWindow).forEach((window, counts) -> {
+			if (!this.flushing.add(window)) {
+				return;
+			}
+			this.log.append(new UsageRecord(this.member, window, counts).encode())
+				.thenAccept((accepted) -> this.thread.run(() -> {
+					this.flushing.remove(window);
+					if (accepted) {
+						this.counter.forget(window);
+					}
+				}));
+		});
+	}
+
+	private void reportDue() {
+		if (!mayAct() || this.clock.nowMs() - this.caughtUpAtMs > WAIT_MS * 2) {
+			return;
+		}
+		long nowMs = this.trueTimeMs.getAsLong();
+		long sealAfterMs = (long) (this.terms.lateMs() * SEAL_SHARE);
+		long oldest = (nowMs - 2 * this.terms.lateMs()) / this.terms.windowMs();
+		long newest = (nowMs - sealAfterMs) / this.terms.windowMs() - 1;
+		for (long window = oldest; window <= newest; window++) {
+			due(window);
+		}
+	}
+
+	private void due(long window) {
+		if (this.reported.contains(window) || this.reporting.contains(window)) {
+			return;
+		}
+		if (this.fold.sealed(window).isPresent()) {
+			report(window, this.fold.sealed(window).get());
+			return;
+		}
+		Map<String, Long> total = this.fold.total(window);
+		if (!total.isEmpty() && this.sealing.add(window)) {
+			this.log.append(new UsageRecord("", window, total).encode()).thenAccept((accepted) -> {
+				if (!accepted) {
+					this.thread.after(RETRY_MS, () -> this.sealing.remove(window));
+				}
+			});
+		}
+	}
+
+	private void report(long window, Map<String, Long> counts) {
+		this.reporting.add(window);
+		long token = this.generation;
+		this.calls.report(this.terms.holderName(), token, window, counts)
+			.thenAccept((outcome) -> this.thread.run(() -> {
+				LOGGER.info("Usage of window {} reported with token {}: {}", window, token, outcome);
+				this.reporting.remove(window);
+				if (outcome == UsageCalls.Outcome.ACCEPTED) {
+					this.reported.add(window);
+				}
+				else if (outcome == UsageCalls.Outcome.FENCED) {
+					this.fencedGeneration = Math.max(this.fencedGeneration, token);
+				}
+			}));
+	}
+
+	/**
+	 * Writes all counts, also those of the running window, and gives up the duty.
+	 */
+	public void leave() {
+		this.thread.run(() -> {
+			flush(Long.MAX_VALUE);
+			this.leaving = true;
+			this.group.leave(this.member)
+				.thenAccept((heard) -> LOGGER.info("Usage duty: left the group, heard={}", heard));
+		});
+	}
+
+	/**
+	 * What the controller works with.
+	 *
+	 * @param log the gateways' usage log
+	 * @param group the group whose members hold the duty
+	 * @param calls the platform's interface
+	 */
+	public record Ports(StoreLog log, DutyGroup group, UsageCalls calls) {
+
+	}
+
+	/**
+	 * Windows and times.
+	 *
+	 * @param holderName name of this process in reports
+	 * @param windowMs length of a window, in ms
+	 * @param lateMs time after a window's end by which its report is due, in ms
+	 * @param leaseMs time for which a holder counts as such without renewal, in ms
+	 */
+	public record UsageTerms(String holderName, long windowMs, long lateMs, long leaseMs) {
+
+	}
+
+}
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageRecord.java
@@ -0,0 +1,63 @@
+package io.anvilusher.gateway.control;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A record of the gateways' usage log.
+ *
+ * @param process identity of the process that counted; empty for a seal
+ * @param window number of the window
+ * @param counts begun requests by workspace
+ */
+record UsageRecord(String process, long window, Map<String, Long> counts) {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(UsageRecord.class);
+
+	private static final ObjectMapper MAPPER = new ObjectMapper();
+
+	UsageRecord {
+		counts = Map.copyOf(counts);
+	}
+
+	boolean isSeal() {
+		return this.process.isEmpty();
+	}
+
+	byte[] encode() {
+		ObjectNode root = MAPPER.createObjectNode().put("process", this.process).put("window", this.window);
+		ObjectNode byWorkspace = root.putObject("counts");
+		this.counts.forEach(byWorkspace::put);
+		try {
+			return MAPPER.writeValueAsBytes(root);
+		}
+		catch (JsonProcessingException ex) {
+			throw new IllegalStateException("A tree can be written as JSON", ex);
+		}
+	}
+
+	static Optional<UsageRecord> decode(byte[] content) {
+		try {
+			JsonNode root = MAPPER.readTree(content);
+			Map<String, Long> counts = new HashMap<>();
+			root.path("counts")
+				.fields()
+				.forEachRemaining((entry) -> counts.put(entry.getKey(), entry.getValue().asLong()));
+			return Optional.of(new UsageRecord(root.path("process").asText(), root.path("window").asLong(), counts));
+		}
+		catch (IOException ex) {
+			LOGGER.warn("A record of the usage log is not JSON and is passed over: {}", ex.getMessage());
+			return Optional.empty();
+		}
+	}
+
+}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -148,7 +148,7 @@
 			return;
 		}
 		this.track.health().onHeard(nowMs);
-		answer.waiting().ifPresent((waiting) -> this.track.onLoadReport(waiting, nowMs));
+		answer.load().ifPresent((load) -> this.track.onLoadReport(load.running(), load.waiting(), nowMs));
 		if (answer.notRun() || status == MISDIRECTED) {
 			onNotRun(nowMs);
 			return;
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ServerHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ServerHead.java
@@ -1,7 +1,7 @@
 package io.anvilusher.gateway.wire;
 
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Optional;
 
 import io.anvilusher.model.request.AnswerHeader;
 
@@ -13,11 +13,11 @@
  * @param signed whether the server vouches for the answer
  * @param notRun whether the server says that it did not run the request and will not
  * @param encoded whether the body was encoded on the way
- * @param waiting requests that wait at the server; empty if it does not say
+ * @param load requests at the server; empty if it does not say
  * @param passedOn headers for the caller
  */
 public record ServerHead(int status, String attemptId, boolean signed, boolean notRun, boolean encoded,
-		OptionalInt waiting, List<AnswerHeader> passedOn) {
+		Optional<LoadReport> load, List<AnswerHeader> passedOn) {
 
 	public ServerHead {
 		passedOn = List.copyOf(passedOn);
@@ -31,4 +31,14 @@
 		return this.status >= 200 && this.status < 300;
 	}
 
+	/**
+	 * Requests at a server.
+	 *
+	 * @param running requests that run
+	 * @param waiting requests that wait
+	 */
+	public record LoadReport(int running, int waiting) {
+
+	}
+
 }
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -9,26 +9,53 @@
 import io.anvilusher.model.request.PromptShape;
 
 /**
- * Places requests on model engines. Load pattern: long prompts whose shared parts exceed
- * the cache of one engine, in bursts, beside short prompts that are worth several times
- * as much and need their first token soon.
+ * Places requests on model engines. Load pattern: long prompts with short answers, whose
+ * shared parts exceed the cache of one engine, in bursts; beside them short prompts with
+ * long answers, which are worth several times as much and whose tokens must not be held
+ * up by the reading of long prompts.
  * <p>
- * A long prompt goes to the engine that its last shared part hashes to, so that this part
- * is read by one engine only; when that engine has its window full, to the next one in
- * the part's order. When no generating engine has room, an engine of the prefill role
- * reads it and a generating engine fetches the KV cache. A short prompt goes to the
- * generating engine with the least unread tokens.
+ * A long prompt goes to the engine that its last shared part hashes to, so that one
+ * engine only reads this part; when that engine's window is full, to the next one in the
+ * part's order. Engines of the prefill role come first more often, since they read
+ * faster; a generating engine then fetches the KV cache. Short prompts fill the
+ * generating engines in an order that all gateways share, and long prompts stay away from
+ * the engines in use for short ones.
  */
 public final class EnginePlacer {
 
 	/** Shared tokens from which a prompt is worth a home. Source: some ms of reading. */
 	static final int MIN_AFFINITY_TOKENS = 1_024;
 
-	/** Engines that may become a second home of a part. Source: bounded-load hashing. */
+	/** Engines that a part may be read by. Source: bounded-load hashing. */
 	static final int HOME_CANDIDATES = 3;
 
-	/** Age up to which a load report counts, in ms. Source: a batch of long prompts. */
-	static final long REPORT_AGE_MS = 250;
+	/**
+	 * Homes at a prefill engine for each one at a generating engine. Source: relative
+	 * reading speed under generation.
+	 */
+	static final double PREFILL_SHARE = 4;
+
+	/**
+	 * Age up to which a count of waiting requests counts, in ms. Source: a batch of long
+	 * prompts.
+	 */
+	static final long WAITING_AGE_MS = 250;
+
+	/**
+	 * Age up to which a count of running requests counts, in ms. Source: a long answer.
+	 */
+	static final long RUNNING_AGE_MS = 3_000;
+
+	/**
+	 * Part of an engine's slots that short prompts fill before they use the next engine.
+	 */
+	static final double FILL_SHARE = 0.75;
+
+	/**
+	 * Running requests from which an engine is in use for short prompts. Source: more
+	 * than long prompts leave running.
+	 */
+	static final int IN_USE_REQUESTS = 4;
 
 	/**
 	 * Places a request.
@@ -39,67 +66,67 @@
 	 * @return the placement
 	 */
 	public Placement place(PromptShape prompt, List<ServerTrack> engines, Set<String> avoided, long nowMs) {
-		List<ServerTrack> decode = usable(engines.stream().filter((engine) -> !engine.isPrefill()).toList(), avoided,
-				nowMs);
+		List<ServerTrack> usable = usable(engines, avoided, nowMs);
+		List<ServerTrack> decode = usable.stream().filter((engine) -> !engine.isPrefill()).toList();
 		if (decode.isEmpty()) {
 			return new Placement.Nowhere();
 		}
 		if (prompt.sharedTokens() < MIN_AFFINITY_TOKENS) {
-			ServerTrack engine = leastLoaded(decode, nowMs);
+			ServerTrack engine = forShortPrompt(decode, nowMs);
 			return new Placement.Whole(engine, engine.uncachedTokens(prompt));
 		}
-		Optional<Placement> home = atHome(prompt, decode);
-		if (home.isPresent()) {
-			return home.get();
-		}
-		List<ServerTrack> prefill = usable(engines.stream().filter(ServerTrack::isPrefill).toList(), avoided, nowMs);
-		return split(prompt, prefill, decode, nowMs).orElseGet(Placement.Full::new);
+		List<ServerTrack> quiet = usable.stream()
+			.filter((engine) -> engine.isPrefill() || !isInUseForShortPrompts(engine, nowMs))
+			.toList();
+		return forLongPrompt(prompt, quiet.isEmpty() ? usable : quiet, decode, nowMs).orElseGet(Placement.Full::new);
 	}
 
 	private static List<ServerTrack> usable(List<ServerTrack> engines, Set<String> avoided, long nowMs) {
 		List<ServerTrack> fresh = engines.stream().filter((engine) -> !avoided.contains(engine.server().id())).toList();
 		List<ServerTrack> sound = fresh.stream().filter((engine) -> !engine.health().isDoubtful(nowMs)).toList();
-		return sound.isEmpty() ? fresh : sound;
+		return sound.stream().allMatch(ServerTrack::isPrefill) ? fresh : sound;
 	}
 
-	private static Optional<Placement> atHome(PromptShape prompt, List<ServerTrack> decode) {
-		return ranked(prompt, decode).stream()
-			.limit(HOME_CANDIDATES)
-			.filter((engine) -> engine.window().fits(engine.uncachedTokens(prompt)))
-			.findFirst()
-			.map((engine) -> new Placement.Whole(engine, engine.uncachedTokens(prompt)));
+	private static boolean isInUseForShortPrompts(ServerTrack engine, long nowMs) {
+		return engine.occupancy(nowMs, RUNNING_AGE_MS) >= IN_USE_REQUESTS;
 	}
 
-	private static Optional<Placement> split(PromptShape prompt, List<ServerTrack> prefill, List<ServerTrack> decode,
-			long nowMs) {
-		return ranked(prompt, prefill).stream()
+	private static Optional<Placement> forLongPrompt(PromptShape prompt, List<ServerTrack> readers,
+			List<ServerTrack> decode, long nowMs) {
+		List<PromptPart> shared = prompt.sharedParts();
+		String key = shared.get(shared.size() - 1).id();
+		return readers.stream()
+			.sorted(Comparator.comparingDouble(
+					(engine) -> Rendezvous.rank(engine.server().id(), key, engine.isPrefill() ? PREFILL_SHARE : 1)))
+			.limit(HOME_CANDIDATES)
 			.filter((engine) -> engine.window().fits(engine.uncachedTokens(prompt)))
 			.findFirst()
-			.map((engine) -> new Placement.Split(engine, leastLoaded(sameDataCentre(engine, decode), nowMs),
-					engine.uncachedTokens(prompt)));
+			.map((engine) -> engine.isPrefill()
+					? new Placement.Split(engine, forFetch(engine, decode, nowMs), engine.uncachedTokens(prompt))
+					: new Placement.Whole(engine, engine.uncachedTokens(prompt)));
 	}
 
 	// A transfer between data centres takes longer and costs more.
-	private static List<ServerTrack> sameDataCentre(ServerTrack source, List<ServerTrack> decode) {
+	private static ServerTrack forFetch(ServerTrack source, List<ServerTrack> decode, long nowMs) {
 		List<ServerTrack> near = decode.stream()
 			.filter((engine) -> engine.server().dataCentre().equals(source.server().dataCentre()))
 			.toList();
-		return near.isEmpty() ? decode : near;
-	}
-
-	private static List<ServerTrack> ranked(PromptShape prompt, List<ServerTrack> engines) {
-		List<PromptPart> shared = prompt.sharedParts();
-		String key = shared.get(shared.size() - 1).id();
-		return engines.stream()
-			.sorted(Comparator.comparingLong((engine) -> -(Rendezvous.weight(engine.server().id(), key) >> 1)))
-			.toList();
+		return (near.isEmpty() ? decode : near).stream()
+			.min(Comparator.<ServerTrack>comparingInt((engine) -> engine.waiting(nowMs, WAITING_AGE_MS))
+				.thenComparingInt((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS))
+				.thenComparingDouble((engine) -> engine.window().pendingTokens()))
+			.orElseThrow();
 	}
 
-	private static ServerTrack leastLoaded(List<ServerTrack> engines, long nowMs) {
-		return engines.stream()
-			.min(Comparator.<ServerTrack>comparingInt((engine) -> engine.waiting(nowMs, REPORT_AGE_MS))
-				.thenComparingDouble((engine) -> engine.window().pendingTokens() + 100.0 * engine.inFlight()))
-			.orElseThrow();
+	private static ServerTrack forShortPrompt(List<ServerTrack> decode, long nowMs) {
+		return decode.stream()
+			.sorted(Comparator
+				.comparingDouble((engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1)))
+			.filter((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS) < FILL_SHARE * engine.server().slots())
+			.findFirst()
+			.orElseGet(() -> decode.stream()
+				.min(Comparator.comparingInt((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS)))
+				.orElseThrow());
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -9,13 +9,13 @@
  */
 public final class PromptWindow {
 
-	/** Tokens at start: two long documents. Source: sizes of the brief's workloads. */
-	static final double INITIAL_TOKENS = 16_000;
+	/** Tokens at start: one long document. Source: sizes of the brief's workloads. */
+	static final double INITIAL_TOKENS = 10_000;
 
 	/**
 	 * Fewest tokens, so that a recovering engine is tried again. Source: one document.
 	 */
-	static final double MIN_TOKENS = 4_000;
+	static final double MIN_TOKENS = 3_000;
 
 	/** Most tokens. Source: a second of reading by the fastest engine in use. */
 	static final double MAX_TOKENS = 300_000;
--- a/logic/src/main/java/io/anvilusher/logic/placement/ServerTrack.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ServerTrack.java
@@ -27,8 +27,12 @@
 
 	private int inFlight;
 
+	private int reportedRunning;
+
 	private int reportedWaiting;
 
+	private int inFlightAtReport;
+
 	private long reportedAtMs = Long.MIN_VALUE / 2;
 
 	private final Map<String, Boolean> seenParts = new LinkedHashMap<>(16, 0.75f, true) {
@@ -98,15 +102,32 @@
 	}
 
 	/**
-	 * Notes the server's own count of waiting requests.
+	 * Notes the server's own counts.
+	 * @param running requests that run
 	 * @param waiting requests that wait
 	 * @param nowMs the time
 	 */
-	public void onLoadReport(int waiting, long nowMs) {
+	public void onLoadReport(int running, int waiting, long nowMs) {
+		this.reportedRunning = running;
 		this.reportedWaiting = waiting;
+		this.inFlightAtReport = this.inFlight;
 		this.reportedAtMs = nowMs;
 	}
 
+	/**
+	 * Estimates the requests at the server, those of other gateways included.
+	 * @param nowMs the time
+	 * @param maxAgeMs oldest report to use
+	 * @return requests
+	 */
+	public int occupancy(long nowMs, long maxAgeMs) {
+		if (nowMs - this.reportedAtMs > maxAgeMs) {
+			return this.inFlight;
+		}
+		int reported = this.reportedRunning + this.reportedWaiting;
+		return Math.max(this.inFlight, reported + this.inFlight - this.inFlightAtReport);
+	}
+
 	/**
 	 * Returns the waiting requests of a report that is not too old to tell anything.
 	 * @param nowMs the time
