--- a/adapters/src/main/java/io/anvilusher/adapters/http/CallerWatch.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/CallerWatch.java
@@ -10,7 +10,7 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
 import org.xnio.IoUtils;
-import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Notices when a caller closes its connection. There is one for each connection, since
@@ -70,22 +70,25 @@
 				|| connection.getExtraBytes() != null) {
 			return;
 		}
-		ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
-		source.setReadListener((channel) -> onReadable(connection, channel));
+		// The conduit of the request's body ignores reads after the body's end, so the
+		// one
+		// below it is read.
+		StreamSourceConduit source = connection.getOriginalSourceConduit();
+		connection.getChannel().getSourceChannel().setReadListener((channel) -> onReadable(connection, source));
 		source.resumeReads();
 	}
 
-	private static void onReadable(AbstractServerConnection connection, ConduitStreamSourceChannel channel) {
+	private static void onReadable(AbstractServerConnection connection, StreamSourceConduit source) {
 		PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
 		boolean kept = false;
 		try {
 			ByteBuffer buffer = pooled.getBuffer();
-			int count = channel.read(buffer);
+			int count = source.read(buffer);
 			if (count < 0) {
 				IoUtils.safeClose(connection);
 			}
 			else if (count > 0) {
-				channel.suspendReads();
+				source.suspendReads();
 				buffer.flip();
 				connection.setExtraBytes(pooled);
 				kept = true;
