--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
@@ -35,7 +35,7 @@
 	/**
 	 * Part of the time to report after which a window is sealed; counts may come late.
 	 */
-	private static final double SEAL_SHARE = 0.4;
+	private static final double SEAL_SHARE = 0.3;
 
 	/** Longest wait of one read, in ms. */
 	private static final long WAIT_MS = 1_200;
@@ -77,7 +77,9 @@
 
 	private boolean holder;
 
-	private long holderSinceMs;
+	private boolean regained;
+
+	private long actedAtMs = Long.MIN_VALUE / 2;
 
 	private long renewedAtMs = Long.MIN_VALUE / 2;
 
@@ -139,7 +141,7 @@
 		this.generation = membership.generation();
 		if (membership.holder() != this.holder) {
 			this.holder = membership.holder();
-			this.holderSinceMs = this.clock.nowMs();
+			this.regained |= this.holder;
 			LOGGER.info("Usage duty: holder={}, generation={}", this.holder, this.generation);
 		}
 		if (this.holder && !this.reading) {
@@ -149,10 +151,14 @@
 	}
 
 	// The lease counts from before the renewal was asked for, so that it ends here first.
+	// A
+	// process that gets the duty back lets a lease pass since it last acted, so that two
+	// holders do not take turns within one.
 	private boolean mayAct() {
 		long nowMs = this.clock.nowMs();
 		return this.holder && !this.leaving && this.generation > this.fencedGeneration
-				&& nowMs - this.renewedAtMs < this.terms.leaseMs() && nowMs - this.holderSinceMs > this.terms.leaseMs();
+				&& nowMs - this.renewedAtMs < this.terms.leaseMs()
+				&& (!this.regained || nowMs - this.actedAtMs > this.terms.leaseMs());
 	}
 
 	private void read() {
@@ -244,6 +250,7 @@
 	private void report(long window, Map<String, Long> counts) {
 		this.reporting.add(window);
 		long token = this.generation;
+		this.actedAtMs = this.clock.nowMs();
 		this.calls.report(this.terms.holderName(), token, window, counts)
 			.thenAccept((outcome) -> this.thread.run(() -> {
 				LOGGER.info("Usage of window {} reported with token {}: {}", window, token, outcome);
