--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -109,11 +109,11 @@
 			return false;
 		}
 		if (placement instanceof Placement.Whole whole) {
-			send(whole.server(), whole.uncachedTokens(), new KvStep.None());
+			send(whole.server(), whole.uncachedTokens(), new KvStep.None(), null);
 		}
 		else if (placement instanceof Placement.Split split) {
 			this.decodeTarget = split.decode();
-			send(split.prefill(), split.uncachedTokens(), new KvStep.Prefill());
+			send(split.prefill(), split.uncachedTokens(), new KvStep.Prefill(), null);
 		}
 		else {
 			giveUp(RefusalReason.NO_SERVER);
@@ -121,9 +121,9 @@
 		return true;
 	}
 
-	private void send(ServerTrack server, int uncachedTokens, KvStep step) {
+	private void send(ServerTrack server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
 		this.sends++;
-		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step);
+		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
 		this.attempt = next;
 		next.start();
 	}
@@ -149,7 +149,7 @@
 			return;
 		}
 		this.unusedHandle = Optional.of(fetch);
-		send(this.decodeTarget, 1, fetch);
+		send(this.decodeTarget, 1, fetch, from);
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -43,6 +43,8 @@
 
 	private final KvStep step;
 
+	private final @Nullable ServerAttempt prefill;
+
 	private final long sentAtMs;
 
 	private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
@@ -61,7 +63,9 @@
 
 	private boolean begun;
 
-	ServerAttempt(Dispatcher dispatcher, GatewayRequest request, ServerTrack track, int uncachedTokens, KvStep step) {
+	ServerAttempt(Dispatcher dispatcher, GatewayRequest request, ServerTrack track, int uncachedTokens, KvStep step,
+			@Nullable ServerAttempt prefill) {
+		this.prefill = prefill;
 		this.dispatcher = dispatcher;
 		this.request = request;
 		this.track = track;
@@ -193,6 +197,14 @@
 		this.request.onFailed(this, failure);
 	}
 
+	/**
+	 * Returns the attempt that had the prompt read.
+	 * @return the attempt before, if this one fetches the KV cache
+	 */
+	private ServerAttempt reader() {
+		return (this.prefill != null) ? this.prefill : this;
+	}
+
 	private void onBegun(long nowMs) {
 		if (this.begun) {
 			return;
@@ -210,8 +222,9 @@
 		this.track.health().onAnswered(elapsedMs());
 		this.request.input().head().prompt().ifPresent((prompt) -> {
 			this.track.onRead(prompt.sharedParts());
-			this.track.window()
-				.onFirstEvent(this.uncachedTokens, elapsedMs(), this.request.input().route().targetMs(), nowMs);
+			reader().track.window()
+				.onFirstEvent(reader().uncachedTokens, reader().elapsedMs(), this.request.input().route().targetMs(),
+						nowMs);
 		});
 		onBegun(nowMs);
 		settle();
@@ -266,12 +279,9 @@
 			fail(AttemptFailure.SERVER_CRASHED, false);
 			return;
 		}
-		long nowMs = this.dispatcher.nowMs();
 		PromptShape prompt = this.request.input().head().prompt().orElseThrow();
 		this.track.health().onAnswered(elapsedMs());
 		this.track.onRead(prompt.sharedParts());
-		this.track.window()
-			.onFirstEvent(this.uncachedTokens, elapsedMs(), this.request.input().route().targetMs(), nowMs);
 		end();
 		this.dispatcher.format()
 			.readHandle(this.held.toByteArray())
--- /dev/null
+++ b/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
@@ -0,0 +1,59 @@
+package io.anvilusher.logic.routing;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+import org.testng.annotations.Test;
+
+import io.anvilusher.model.routing.CallerLimits;
+import io.anvilusher.model.routing.Route;
+import io.anvilusher.model.routing.RouteKind;
+import io.anvilusher.model.routing.RoutingTable;
+import io.anvilusher.model.routing.WeightedService;
+
+import static org.testng.Assert.assertEquals;
+
+public class RouteIndexTests {
+
+	private static Route route(String name, String host, String prefix) {
+		return new Route(name, host, prefix, RouteKind.IDEMPOTENT, 1_000, 100, 0,
+				List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 1, false, false, false);
+	}
+
+	private final RouteIndex index = new RouteIndex(
+			new RoutingTable(1, List.of(route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/"),
+					route("other", "o.example", "/")), Map.of(), Map.of(), CallerLimits.DEFAULT));
+
+	private Optional<String> find(String host, String path) {
+		return this.index.find(host, path).map(Route::name);
+	}
+
+	@Test
+	public void prefersTheLongestPrefix() {
+		assertEquals(find("h.example", "/a/b/c"), Optional.of("long"));
+		assertEquals(find("h.example", "/a/c/b"), Optional.of("short"));
+	}
+
+	@Test
+	public void needsTheWholePrefix() {
+		assertEquals(find("h.example", "/a"), Optional.empty());
+		assertEquals(find("h.example", "/ab/c"), Optional.empty());
+	}
+
+	@Test
+	public void ignoresCaseAndPortOfTheHost() {
+		assertEquals(find("H.Example:8080", "/a/"), Optional.of("short"));
+		assertEquals(find("unknown.example", "/a/"), Optional.empty());
+	}
+
+	@Test
+	public void splitsByWeight() {
+		Route route = this.index.find("h.example", "/a/").orElseThrow();
+		assertEquals(RouteIndex.serviceOf(route, 0.0), "a");
+		assertEquals(RouteIndex.serviceOf(route, 0.89), "a");
+		assertEquals(RouteIndex.serviceOf(route, 0.91), "b");
+		assertEquals(RouteIndex.serviceOf(route, 0.999_999), "b");
+	}
+
+}
--- /dev/null
+++ b/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
@@ -0,0 +1,47 @@
+package io.anvilusher.logic.usage;
+
+import java.util.Map;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class UsageFoldTests {
+
+	@Test
+	public void countsARecordThatWasWrittenTwiceOnce() {
+		UsageFold fold = new UsageFold();
+		fold.onCounts("a", 7, Map.of("w", 3L));
+		fold.onCounts("b", 7, Map.of("w", 2L, "v", 1L));
+		fold.onCounts("a", 7, Map.of("w", 3L));
+		assertEquals(fold.total(7), Map.of("w", 5L, "v", 1L));
+	}
+
+	@Test
+	public void keepsTheFirstSealOfTwoHolders() {
+		UsageFold fold = new UsageFold();
+		assertTrue(fold.onSeal(7, Map.of("w", 5L)));
+		assertFalse(fold.onSeal(7, Map.of("w", 6L)));
+		assertEquals(fold.sealed(7).orElseThrow(), Map.of("w", 5L));
+	}
+
+	@Test
+	public void carriesTheTimeAcrossAJumpAndBack() {
+		SteadyTime time = new SteadyTime(1_000_000, 0);
+		assertEquals(time.trueMs(1_001_000, 1_000), 1_001_000);
+		assertEquals(time.trueMs(1_004_400, 2_000), 1_002_000);
+		assertEquals(time.trueMs(1_010_400, 8_000), 1_008_000);
+		assertEquals(time.trueMs(1_009_000, 9_000), 1_009_000);
+	}
+
+	@Test
+	public void takesALastingDifferenceOver() {
+		SteadyTime time = new SteadyTime(1_000_000, 0);
+		time.trueMs(1_006_000, 1_000);
+		time.trueMs(1_018_500, 13_500);
+		assertEquals(time.trueMs(1_019_000, 14_000), 1_019_000);
+	}
+
+}
