Close a server's connection at once when its request is given up

Cause: Undertow closes a client connection by shutting down its writes, which the conduit of a request that was sent whole ignores, and then waits for the server to close. A plain request went on at its server after its caller had left.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -17,6 +17,8 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSinkChannel;
@@ -29,6 +31,8 @@
  */
 final class ClientCall implements RunningCall {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(ClientCall.class);
+
 	private static final Pattern KEEP_ALIVE_TIMEOUT = Pattern.compile("timeout=(\\d{1,6})");
 
 	/** Part of a server's keep-alive time during which its connection is used. */
@@ -239,11 +243,24 @@
 		}
 		this.ended = true;
 		if (this.connection != null) {
-			IoUtils.safeClose(this.connection);
+			abort(this.connection);
 		}
 		this.listener.onFailure(this.sent, cause);
 	}
 
+	// Undertow closes a connection by waiting for the other side to close it as well,
+	// which
+	// a server at work does not do; without its conduits it is closed at once.
+	private static void abort(ClientConnection connection) {
+		try {
+			IoUtils.safeClose(connection.performUpgrade());
+		}
+		catch (IOException ex) {
+			LOGGER.debug("The connection is closed already", ex);
+		}
+		IoUtils.safeClose(connection);
+	}
+
 	/**
 	 * Gives the call up if its connection has not opened yet.
 	 * @param timeoutMs time that it had
