--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -13,7 +13,8 @@
 	static final double INITIAL_TOKENS = 10_000;
 
 	/**
-	 * Fewest tokens, so that a recovering engine is tried again. Source: a part of one document.
+	 * Fewest tokens, so that a recovering engine is tried again. Source: a part of one
+	 * document.
 	 */
 	static final double MIN_TOKENS = 1_500;
 
@@ -21,10 +22,10 @@
 	static final double MAX_TOKENS = 300_000;
 
 	/** Part of the objective up to which the bound grows. */
-	static final double GROW_BELOW = 0.55;
+	static final double GROW_BELOW = 0.45;
 
 	/** Part of the objective from which the bound shrinks. */
-	static final double SHRINK_ABOVE = 0.8;
+	static final double SHRINK_ABOVE = 0.65;
 
 	/** Factor of one reduction. */
 	static final double SHRINK_FACTOR = 0.75;
--- a/logic/src/main/java/io/anvilusher/logic/placement/WaitLine.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/WaitLine.java
@@ -17,7 +17,7 @@
 public final class WaitLine<T> {
 
 	/** Part of the objective that a request may wait. Source: the rest reads a prompt. */
-	static final double MAX_WAIT_SHARE = 0.3;
+	static final double MAX_WAIT_SHARE = 0.15;
 
 	/** Most requests that wait. Source: more could not be placed within their wait. */
 	static final int MAX_LENGTH = 64;
