--- a/adapters/src/main/java/io/anvilusher/adapters/metrics/Meters.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/metrics/Meters.java
@@ -1,6 +1,8 @@
 package io.anvilusher.adapters.metrics;
 
+import java.time.Duration;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.LongStream;
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -64,6 +66,20 @@
 		return this.registry.timer(name, tags);
 	}
 
+	/**
+	 * Returns a timer with a histogram.
+	 * @param name its name
+	 * @param boundsMs upper bounds of the buckets, in ms
+	 * @param tags names and values of its tags, in turn
+	 * @return the timer
+	 */
+	public Timer histogram(String name, long[] boundsMs, String... tags) {
+		return Timer.builder(name)
+			.tags(tags)
+			.serviceLevelObjectives(LongStream.of(boundsMs).mapToObj(Duration::ofMillis).toArray(Duration[]::new))
+			.register(this.registry);
+	}
+
 	/**
 	 * Registers a gauge.
 	 * @param <T> type of the object that is measured
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -20,6 +21,7 @@
 
 import io.anvilusher.adapters.control.ControlThread;
 import io.anvilusher.adapters.http.StreamingHttpClient;
+import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.control.TableFollower;
@@ -47,7 +49,7 @@
 	 * Pause between two reads of the servers' changes, in ms. Source: a part of the time
 	 * to drain.
 	 */
-	private static final long SERVERS_PAUSE_MS = 250;
+	private static final long SERVERS_PAUSE_MS = 800;
 
 	/**
 	 * Pause between two reads of the routing table's changes, in ms. Source: a small part
@@ -91,6 +93,8 @@
 
 	private Map<String, RegisteredServer> registered = Map.of();
 
+	private volatile List<RegisteredServer> serversShown = List.of();
+
 	private volatile boolean serversKnown;
 
 	private volatile boolean draining;
@@ -145,6 +149,7 @@
 		gateway.front.start();
 		gateway.usage.ifPresent(UsageDuty::start);
 		ReadyServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
+		AdminServer.start(settings.metricsAddress(), gateway.meters, gateway::isReady, gateway::status);
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
 		return gateway;
@@ -174,6 +179,17 @@
 		});
 	}
 
+	private String status() {
+		return "{\"process\":\"" + this.settings.process() + "\",\"ready\":" + isReady() + ",\"tableVersion\":"
+				+ this.routes.get().map((index) -> index.table().version()).orElse(-1L) + ",\"servers\":["
+				+ this.serversShown.stream()
+					.map((server) -> "{\"id\":\"" + server.id() + "\",\"service\":\"" + server.service()
+							+ "\",\"address\":\"" + server.address() + "\",\"draining\":" + server.draining()
+							+ ",\"role\":\"" + server.role().map(Enum::name).orElse("") + "\"}")
+					.collect(Collectors.joining(","))
+				+ "]}";
+	}
+
 	private boolean isReady() {
 		return !this.draining && this.serversKnown && this.routes.get().isPresent();
 	}
@@ -198,6 +214,7 @@
 	private void showServers() {
 		Map<String, RegisteredServer> inUse = this.lapses.inUse(this.registered, this.clock.nowMs());
 		List<RegisteredServer> servers = List.copyOf(inUse.values());
+		this.serversShown = servers;
 		this.worker.getIoThread().execute(() -> {
 			this.fleet.apply(servers);
 			this.serversKnown = true;
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -28,7 +28,7 @@
 	 * Longest wait of one read for a change, in ms. Source: a silent connection is
 	 * noticed soon after.
 	 */
-	private static final long WAIT_MS = 1_200;
+	private static final long WAIT_MS = 2_000;
 
 	/** Pause after a failed read, in ms. Source: answer time of a store that is slow. */
 	private static final long RETRY_MS = 150;
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
+import io.micrometer.core.instrument.Timer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
@@ -39,6 +40,16 @@
 	 */
 	private static final long LINE_CHECK_MS = 5;
 
+	/**
+	 * Bounds of the latency histograms, in ms. Source: objectives and deadlines of the
+	 * brief's workloads.
+	 */
+	private static final long[] LATENCY_BOUNDS_MS = { 10, 25, 50, 100, 150, 200, 400, 800, 2_000, 5_000, 15_000 };
+
+	private final Map<String, Timer> totals = new HashMap<>();
+
+	private final Map<String, Timer> firstResults = new HashMap<>();
+
 	private final FleetBoard fleet;
 
 	private final WireFormat format;
@@ -158,6 +169,21 @@
 		};
 	}
 
+	void onEnded(String service, int status, long firstResultMs, long totalMs) {
+		this.meters.counter("anvilusher.requests", "service", service, "status", Integer.toString(status)).increment();
+		this.totals
+			.computeIfAbsent(service,
+					(name) -> this.meters.histogram("anvilusher.request.total", LATENCY_BOUNDS_MS, "service", name))
+			.record(totalMs, TimeUnit.MILLISECONDS);
+		if (firstResultMs >= 0) {
+			this.firstResults
+				.computeIfAbsent(service,
+						(name) -> this.meters.histogram("anvilusher.request.first.result", LATENCY_BOUNDS_MS, "service",
+								name))
+				.record(firstResultMs, TimeUnit.MILLISECONDS);
+		}
+	}
+
 	long nowMs() {
 		return this.clock.nowMs();
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -354,6 +354,7 @@
 		this.dispatcher.desk(this.input.service()).line().remove(this);
 		this.unusedHandle.ifPresent(this::free);
 		long nowMs = this.dispatcher.nowMs();
+		this.dispatcher.onEnded(this.input.service(), status, this.firstResultMs, nowMs - this.input.arrivedAtMs());
 		LOGGER.atInfo()
 			.addKeyValue("request_id", this.input.head().attemptId())
 			.addKeyValue("route", this.input.route().name())
