--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -146,7 +146,7 @@
 			.stream()
 			.mapToDouble((server) -> server.window().pendingTokens() + 1)
 			.sum();
-		return desk(service).returns().afterMs(ahead, this.random.nextDouble());
+		return desk(service).returns().afterMs(ahead, this.random.nextDouble(), nowMs());
 	}
 
 	ServiceDesk desk(String service) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/ReturnTime.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ReturnTime.java
@@ -2,9 +2,10 @@
 
 /**
  * When a caller that was turned away should come back: after the work that is ahead has
- * been done at the pace seen lately, spread over as long again so that callers do not
- * return together. Load pattern: overload of some seconds with callers that come back
- * once.
+ * been done at the pace seen lately, and not before the overload has lasted as long again
+ * as it has so far, since nothing else is known of its length; spread over some more time
+ * so that callers do not return together. Load pattern: overload of some seconds with
+ * callers that come back once.
  */
 public final class ReturnTime {
 
@@ -17,6 +18,18 @@
 	/** Weight of the newest interval in the pace. */
 	static final double NEWEST_WEIGHT = 0.2;
 
+	/**
+	 * Pause between two rejections that ends an overload, in ms. Source: a few batches.
+	 */
+	static final long CALM_MS = 400;
+
+	/** Part of the time by which callers are spread. */
+	static final double SPREAD_SHARE = 0.5;
+
+	private long overloadSinceMs;
+
+	private long lastTurnedAwayMs = Long.MIN_VALUE / 2;
+
 	private double unitsPerMs;
 
 	private long lastMs = Long.MIN_VALUE;
@@ -44,15 +57,21 @@
 	}
 
 	/**
-	 * Estimates when there will be room.
+	 * Estimates when there will be room, for a caller that is turned away now.
 	 * @param aheadUnits work that was taken before
 	 * @param draw a number from 0 to 1 that spreads the callers
+	 * @param nowMs the time
 	 * @return milliseconds from now
 	 */
-	public long afterMs(double aheadUnits, double draw) {
-		double waitMs = (this.unitsPerMs > 0) ? aheadUnits / this.unitsPerMs : MIN_MS;
+	public long afterMs(double aheadUnits, double draw, long nowMs) {
+		if (nowMs - this.lastTurnedAwayMs > CALM_MS) {
+			this.overloadSinceMs = nowMs;
+		}
+		this.lastTurnedAwayMs = nowMs;
+		double workMs = (this.unitsPerMs > 0) ? aheadUnits / this.unitsPerMs : MIN_MS;
+		double waitMs = Math.max(workMs, nowMs - this.overloadSinceMs);
 		double bounded = Math.min(MAX_MS, Math.max(MIN_MS, waitMs));
-		return (long) Math.min(MAX_MS, bounded * (1 + draw));
+		return (long) Math.min(MAX_MS, bounded * (1 + SPREAD_SHARE * draw));
 	}
 
 }
