Hold lapsed servers only after an outage in which registrations can lapse

Every failed read, also a single one, made the gateway keep removed servers for 2.3 s, longer than the 2 s in which a leaving server may get work. Change: only an outage of a second or more, as seen by failed reads, holds lapsed servers; dropped history holds none; servers are read each 0.5 s. LapseGuardTests.dropsServersThatLeaveAfterAShortFailure fails before and passes after.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -49,7 +49,7 @@
 	 * Pause between two reads of the servers' changes, in ms. Source: a part of the time
 	 * to drain.
 	 */
-	private static final long SERVERS_PAUSE_MS = 800;
+	private static final long SERVERS_PAUSE_MS = 500;
 
 	/**
 	 * Pause between two reads of the routing table's changes, in ms. Source: a small part
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -120,7 +120,6 @@
 			else if (answer instanceof TableAnswer.HistoryDropped) {
 				LOGGER.info("Table {}: changes from offset {} are no longer kept; all records are read", this.name,
 						this.nextOffset);
-				this.listener.onUnreachable(this.clock.nowMs());
 				start();
 			}
 			else {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -58,7 +58,7 @@
 	private Runnable cancelTimer = () -> {
 	};
 
-	private ServerTrack decodeTarget;
+	private @Nullable ServerTrack decodeTarget;
 
 	private int sends;
 
@@ -144,7 +144,7 @@
 	 */
 	void onPrefilled(ServerAttempt from, String source, String handle) {
 		KvStep.Fetch fetch = new KvStep.Fetch(source, handle);
-		if (this.done) {
+		if (this.done || this.decodeTarget == null) {
 			free(fetch);
 			return;
 		}
--- a/logic/src/main/java/io/anvilusher/logic/fleet/LapseGuard.java
+++ b/logic/src/main/java/io/anvilusher/logic/fleet/LapseGuard.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 
 import io.anvilusher.model.fleet.RegisteredServer;
 
@@ -18,8 +19,16 @@
 	 */
 	public static final long RETURN_MS = 2_300;
 
+	/**
+	 * Outage from which registrations may have lapsed, in ms. Source: a heartbeat of a
+	 * server; a single failed read is shorter.
+	 */
+	static final long MIN_OUTAGE_MS = 1_000;
+
 	private Map<String, RegisteredServer> shown = Map.of();
 
+	private OptionalLong outageSinceMs = OptionalLong.empty();
+
 	private long holdUntilMs = Long.MIN_VALUE / 2;
 
 	/**
@@ -27,7 +36,9 @@
 	 * @param nowMs the time
 	 */
 	public void onUnreachable(long nowMs) {
-		this.holdUntilMs = nowMs + RETURN_MS;
+		if (this.outageSinceMs.isEmpty()) {
+			this.outageSinceMs = OptionalLong.of(nowMs);
+		}
 	}
 
 	/**
@@ -35,7 +46,10 @@
 	 * @param nowMs the time
 	 */
 	public void onReachable(long nowMs) {
-		this.holdUntilMs = nowMs + RETURN_MS;
+		if (nowMs - this.outageSinceMs.orElse(nowMs) >= MIN_OUTAGE_MS) {
+			this.holdUntilMs = nowMs + RETURN_MS;
+		}
+		this.outageSinceMs = OptionalLong.empty();
 	}
 
 	/**
@@ -60,12 +74,4 @@
 		return this.shown;
 	}
 
-	/**
-	 * Returns when {@link #inUse} has to be asked again without a change.
-	 * @return time in ms, maybe in the past
-	 */
-	public long holdUntilMs() {
-		return this.holdUntilMs;
-	}
-
 }
