Keep calls to the store and repeats few, and counts until late

Engines were ordered about after the traffic had ended. Changes: a second reading takes a second repeat; a cache that the second engine did not take is fetched by another one; a 421 pauses the server; failed reads pause up to 0.45 s and reads wait as long as the time to catch up allows; windows are sealed early only when all who counted before have, else at 0.65 of the time to report; a leaving process waits for its last counts to be written; no orders without load once load was seen; providers are looked up, and listeners opened, before traffic to the store begins.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -91,6 +91,15 @@
 		return new StreamingHttpClient(worker);
 	}
 
+	/**
+	 * Looks the providers of the client library up in its jars. A process calls it before
+	 * it starts its threads, so that the first call of one of them does not read jars
+	 * beside the others.
+	 */
+	public static void loadProviders() {
+		UndertowClient.getInstance();
+	}
+
 	/**
 	 * Starts a call.
 	 * @param call the call
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -6,7 +6,10 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
@@ -48,10 +51,16 @@
 	private static final Logger LOGGER = LoggerFactory.getLogger(Gateway.class);
 
 	/**
-	 * Pause between two reads of the servers' changes, in ms. Source: a part of the time
-	 * to drain.
+	 * Pause between two reads of the servers' changes, as a part of the time in which a
+	 * leaving server must get no new work.
 	 */
-	private static final long SERVERS_PAUSE_MS = 500;
+	private static final double SERVERS_PAUSE_SHARE = 0.25;
+
+	/**
+	 * Longest wait of one read for a change, as a part of the time in which the newest
+	 * state must be in force again after a connection fell silent.
+	 */
+	private static final double READ_WAIT_SHARE = 0.5;
 
 	/**
 	 * Pause between two reads of the routing table's changes, in ms. Source: a small part
@@ -66,8 +75,8 @@
 	private static final double DRAIN_SHARE = 0.93;
 
 	/**
-	 * Time to write the last counts and to give up duties, in ms. Source: some calls to
-	 * the store.
+	 * Least time to write the last counts and to give up duties, in ms. Source: some
+	 * calls to the store.
 	 */
 	private static final long LEAVE_MS = 100;
 
@@ -109,6 +118,7 @@
 
 	private Gateway(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		this.settings = settings;
+		StreamingHttpClient.loadProviders();
 		this.worker = Xnio.getInstance()
 			.createWorker(OptionMap.builder()
 				.set(Options.WORKER_IO_THREADS, 1)
@@ -156,24 +166,27 @@
 	 */
 	public static Gateway start(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		Gateway gateway = new Gateway(settings, factory);
-		gateway.follow();
 		gateway.front.start();
 		gateway.usage.ifPresent(UsageDuty::start);
 		gateway.roles.start();
 		gateway.duties.start();
 		ReadyServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
 		AdminServer.start(settings.metricsAddress(), gateway.meters, gateway::isReady, gateway::status);
+		// Network traffic begins when this thread has loaded what a start needs.
+		gateway.follow();
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
 		return gateway;
 	}
 
 	private void follow() {
+		long waitMs = (long) (READ_WAIT_SHARE * this.settings.catchUpMs());
+		long serversPauseMs = (long) (SERVERS_PAUSE_SHARE * this.settings.drainMs());
 		new TableFollower<RoutingTable>("routes", this.adapter.routingTables(), this.adapter::readRoutingTable,
-				this::onRoutingTables, this.context, TABLE_PAUSE_MS)
+				this::onRoutingTables, this.context, new TableFollower.Pace(TABLE_PAUSE_MS, waitMs))
 			.start();
 		new TableFollower<>("servers", this.adapter.servers(), this.adapter::readServer, new ServerListener(),
-				this.context, SERVERS_PAUSE_MS)
+				this.context, new TableFollower.Pace(serversPauseMs, waitMs))
 			.start();
 	}
 
@@ -211,12 +224,21 @@
 	 */
 	public void drain() {
 		this.draining = true;
+		long endMs = this.clock.nowMs() + (long) (this.settings.graceMs() * DRAIN_SHARE);
 		try {
 			this.front.drain(Math.min(DRAIN_TAKE_MS, this.settings.graceMs() / 2),
-					(long) (this.settings.graceMs() * DRAIN_SHARE) - LEAVE_MS);
-			this.usage.ifPresent(UsageDuty::leave);
-			this.duties.leave();
-			TimeUnit.MILLISECONDS.sleep(LEAVE_MS);
+					endMs - this.clock.nowMs() - LEAVE_MS);
+			CompletableFuture<Void> left = this.duties.leave();
+			CompletableFuture<Void> written = this.usage.map(UsageDuty::leave)
+				.orElseGet(() -> CompletableFuture.completedFuture(null));
+			CompletableFuture.allOf(left, written)
+				.get(Math.max(LEAVE_MS, endMs - this.clock.nowMs()), TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException ex) {
+			LOGGER.warn("The store did not take the last counts in time; they are lost");
+		}
+		catch (ExecutionException ex) {
+			LOGGER.error("Duties were not given up", ex);
 		}
 		catch (InterruptedException ex) {
 			Thread.currentThread().interrupt();
--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -23,10 +23,13 @@
  * @param usageWindowMs length of a usage window, in ms
  * @param usageLateMs time after a window's end by which its report is due, in ms
  * @param leaseMs time for which a holder of a duty counts as such without renewal, in ms
+ * @param drainMs time in which a leaving server must get no new work, in ms
+ * @param catchUpMs time in which the newest state must be in force after an outage, in ms
  */
 public record GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties, long graceMs,
-		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs) {
+		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs, long drainMs,
+		long catchUpMs) {
 
 	private static final long MAX_MS = 3_600_000;
 
@@ -44,7 +47,8 @@
 					.map((text) -> SocketAddresses.readTarget(reader, "duties")),
 				seconds(reader, "graceS"), reader.number("retryRatio", 0, 1, 0), seconds(reader, "retryWindowS"),
 				seconds(reader, "usageWindowS"), seconds(reader, "usageLateS"),
-				reader.wholeNumber("leaseMs", 1, MAX_MS, 3_000));
+				reader.wholeNumber("leaseMs", 1, MAX_MS, 3_000), reader.wholeNumber("drainMs", 1, MAX_MS, 2_000),
+				seconds(reader, "catchUpS"));
 	}
 
 	private static long seconds(ObjectReader reader, String field) {
--- a/gateway/src/main/java/io/anvilusher/gateway/control/DutyMembership.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/DutyMembership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -152,12 +153,18 @@
 
 	/**
 	 * Gives up the duties.
+	 * @return completes when the group has heard it, or did not answer
 	 */
-	public void leave() {
+	public CompletableFuture<Void> leave() {
+		CompletableFuture<Void> left = new CompletableFuture<>();
 		this.thread.run(() -> {
 			this.leaving = true;
-			this.group.leave(this.member).thenAccept((heard) -> LOGGER.info("Duties: left the group, heard={}", heard));
+			this.group.leave(this.member).thenAccept((heard) -> {
+				LOGGER.info("Duties: left the group, heard={}", heard);
+				left.complete(null);
+			});
 		});
+		return left;
 	}
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -25,13 +25,16 @@
 	private static final Logger LOGGER = LoggerFactory.getLogger(TableFollower.class);
 
 	/**
-	 * Longest wait of one read for a change, in ms. Source: a silent connection is
-	 * noticed soon after.
+	 * Pause after the first failed read, in ms. Source: answer time of a store that is
+	 * slow.
 	 */
-	private static final long WAIT_MS = 2_000;
+	private static final long FIRST_RETRY_MS = 150;
 
-	/** Pause after a failed read, in ms. Source: answer time of a store that is slow. */
-	private static final long RETRY_MS = 150;
+	/**
+	 * Longest pause after failed reads, in ms. Source: a part of the time in which the
+	 * newest state must be in force after an outage.
+	 */
+	private static final long MAX_RETRY_MS = 450;
 
 	private final String name;
 
@@ -47,7 +50,7 @@
 
 	private final Meters meters;
 
-	private final long pauseMs;
+	private final Pace pace;
 
 	private Map<String, T> values = new HashMap<>();
 
@@ -55,6 +58,8 @@
 
 	private boolean reachable = true;
 
+	private int failures;
+
 	/**
 	 * Creates a follower.
 	 * @param name name of the table in logs and metrics
@@ -62,10 +67,10 @@
 	 * @param decode reads a value of a key; empty if it is not readable
 	 * @param listener hears of changes
 	 * @param context thread, clock and meters
-	 * @param pauseMs pause between two reads of changes, in ms
+	 * @param pace how often the store is asked
 	 */
 	public TableFollower(String name, StoreTable table, BiFunction<String, byte[], Optional<T>> decode,
-			Listener<T> listener, ControlContext context, long pauseMs) {
+			Listener<T> listener, ControlContext context, Pace pace) {
 		this.name = name;
 		this.table = table;
 		this.decode = decode;
@@ -73,7 +78,7 @@
 		this.thread = context.thread();
 		this.clock = context.clock();
 		this.meters = context.meters();
-		this.pauseMs = pauseMs;
+		this.pace = pace;
 	}
 
 	/**
@@ -107,7 +112,7 @@
 	}
 
 	private void readChanges() {
-		on(this.table.changes(this.nextOffset, WAIT_MS), (answer) -> {
+		on(this.table.changes(this.nextOffset, this.pace.waitMs()), (answer) -> {
 			if (answer instanceof TableAnswer.Changes changes) {
 				onReachable();
 				this.nextOffset = changes.nextOffset();
@@ -115,7 +120,7 @@
 					changes.records().forEach((entry) -> apply(this.values, entry));
 					this.listener.onTable(Map.copyOf(this.values));
 				}
-				this.thread.after(this.pauseMs, this::readChanges);
+				this.thread.after(this.pace.pauseMs(), this::readChanges);
 			}
 			else if (answer instanceof TableAnswer.HistoryDropped) {
 				LOGGER.info("Table {}: changes from offset {} are no longer kept; all records are read", this.name,
@@ -138,10 +143,12 @@
 					this.nextOffset);
 		}
 		this.listener.onUnreachable(this.clock.nowMs());
-		this.thread.after(RETRY_MS, retry);
+		this.thread.after(Math.min(MAX_RETRY_MS, FIRST_RETRY_MS << Math.min(this.failures, 10)), retry);
+		this.failures++;
 	}
 
 	private void onReachable() {
+		this.failures = 0;
 		if (!this.reachable) {
 			this.reachable = true;
 			LOGGER.info("Table {} of the store is reachable again", this.name);
@@ -192,6 +199,16 @@
 
 	}
 
+	/**
+	 * How often the store is asked.
+	 *
+	 * @param pauseMs pause between two reads of changes, in ms
+	 * @param waitMs longest wait of one read for a change, in ms
+	 */
+	public record Pace(long pauseMs, long waitMs) {
+
+	}
+
 	/**
 	 * What all followers share.
 	 *
--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
 import org.slf4j.Logger;
@@ -30,15 +31,25 @@
 	private static final long FLUSH_AFTER_MS = 300;
 
 	/**
-	 * Part of the time to report after which a window is sealed; counts may come late.
+	 * Part of the time to report after which a window is sealed once all processes that
+	 * counted in the window before have written their counts.
 	 */
-	private static final double SEAL_SHARE = 0.3;
+	private static final double SEAL_SHARE = 0.15;
+
+	/**
+	 * Part of the time to report after which a window is sealed with what there is: a
+	 * process may be cut off from the store for a while, and the rest is left to report.
+	 */
+	private static final double SEAL_ANYWAY_SHARE = 0.65;
 
 	/** Longest wait of one read, in ms. */
 	private static final long WAIT_MS = 1_200;
 
 	/** Pause after a failed call, in ms. */
-	private static final long RETRY_MS = 300;
+	private static final long RETRY_MS = 600;
+
+	/** Pause between two looks whether the last counts are written, in ms. */
+	private static final long LEAVE_CHECK_MS = 20;
 
 	private final DutyMembership membership;
 
@@ -156,10 +167,12 @@
 			}
 			this.log.append(new UsageRecord(this.membership.member(), window, counts).encode())
 				.thenAccept((accepted) -> this.thread.run(() -> {
-					this.flushing.remove(window);
 					if (accepted) {
+						this.flushing.remove(window);
 						this.counter.forget(window);
+						return;
 					}
+					this.thread.after(RETRY_MS, () -> this.flushing.remove(window));
 				}));
 		});
 	}
@@ -169,14 +182,21 @@
 			return;
 		}
 		long nowMs = this.trueTimeMs.getAsLong();
-		long sealAfterMs = (long) (this.terms.lateMs() * SEAL_SHARE);
 		long oldest = (nowMs - 2 * this.terms.lateMs()) / this.terms.windowMs();
-		long newest = (nowMs - sealAfterMs) / this.terms.windowMs() - 1;
+		long newest = lastEnded(nowMs, SEAL_SHARE);
+		long newestAnyway = lastEnded(nowMs, SEAL_ANYWAY_SHARE);
+		this.reported.removeIf((window) -> window < oldest);
 		for (long window = oldest; window <= newest; window++) {
-			due(window);
+			if (window <= newestAnyway || this.fold.isComplete(window)) {
+				due(window);
+			}
 		}
 	}
 
+	private long lastEnded(long nowMs, double share) {
+		return (nowMs - (long) (this.terms.lateMs() * share)) / this.terms.windowMs() - 1;
+	}
+
 	private void due(long window) {
 		if (this.reported.contains(window) || this.reporting.contains(window)) {
 			return;
@@ -212,10 +232,22 @@
 	}
 
 	/**
-	 * Writes all counts, also those of the running window.
+	 * Writes all counts, also those of the running window, until the store has them.
+	 * @return completes when the store has all counts
 	 */
-	public void leave() {
-		this.thread.run(() -> flush(Long.MAX_VALUE));
+	public CompletableFuture<Void> leave() {
+		CompletableFuture<Void> written = new CompletableFuture<>();
+		this.thread.run(() -> flushUntilWritten(written));
+		return written;
+	}
+
+	private void flushUntilWritten(CompletableFuture<Void> written) {
+		if (this.counter.before(Long.MAX_VALUE).isEmpty()) {
+			written.complete(null);
+			return;
+		}
+		flush(Long.MAX_VALUE);
+		this.thread.after(LEAVE_CHECK_MS, () -> flushUntilWritten(written));
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/FleetBoard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/FleetBoard.java
@@ -65,12 +65,4 @@
 		return this.byService.getOrDefault(service, List.of());
 	}
 
-	/**
-	 * Tells whether any server is known.
-	 * @return whether none is
-	 */
-	public boolean isEmpty() {
-		return this.tracks.isEmpty();
-	}
-
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
@@ -115,6 +116,10 @@
 			.orElseGet(() -> this.plainPlacer.place(servers, avoided, nowMs()));
 	}
 
+	Optional<ServerTrack> placeFetch(GatewayRequest request, ServerTrack source, Set<String> avoided) {
+		return this.enginePlacer.placeFetch(source, this.fleet.servers(request.input().service()), avoided, nowMs());
+	}
+
 	boolean await(GatewayRequest request) {
 		boolean waits = desk(request.input().service()).line()
 			.offer(request, request.input().route().targetMs(), nowMs());
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -60,6 +60,8 @@
 
 	private @Nullable ServerTrack decodeTarget;
 
+	private boolean promptWasRead;
+
 	private int sends;
 
 	private int runs;
@@ -112,6 +114,13 @@
 			send(whole.server(), whole.uncachedTokens(), new KvStep.None(), null);
 		}
 		else if (placement instanceof Placement.Split split) {
+			// Reading a prompt again is one more arrival than the repeat that was
+			// allowed.
+			if (this.promptWasRead
+					&& !this.dispatcher.desk(this.input.service()).retries().tryRepeat(this.dispatcher.nowMs())) {
+				giveUp(RefusalReason.SERVICE_SATURATED);
+				return true;
+			}
 			this.decodeTarget = split.decode();
 			send(split.prefill(), split.uncachedTokens(), new KvStep.Prefill(), null);
 		}
@@ -148,7 +157,9 @@
 			free(fetch);
 			return;
 		}
+		this.unusedHandle.ifPresent(this::free);
 		this.unusedHandle = Optional.of(fetch);
+		this.promptWasRead = true;
 		send(this.decodeTarget, 1, fetch, from);
 	}
 
@@ -156,12 +167,12 @@
 	 * A server did not run the request and will not.
 	 * @param from the attempt
 	 * @param failure why
+	 * @param arrived whether the server got the request
 	 */
-	void onNotRun(ServerAttempt from, AttemptFailure failure) {
+	void onNotRun(ServerAttempt from, AttemptFailure failure, boolean arrived) {
 		if (this.done) {
 			return;
 		}
-		boolean arrived = failure != AttemptFailure.SERVER_UNREACHABLE;
 		if (!repeat(from, failure, arrived)) {
 			finishWithout(failure, RefusalReason.SERVICE_SATURATED);
 		}
@@ -218,10 +229,23 @@
 			.log("Attempt failed; the request is sent again");
 		this.stream = null;
 		this.events.dropPartialEvent();
-		placeOrWait();
+		if (failure != AttemptFailure.SERVER_UNREACHABLE || !fetchElsewhere(from)) {
+			placeOrWait();
+		}
 		return true;
 	}
 
+	// The engine that was to fetch the KV cache did not get the request, so the cache is
+	// still there.
+	private boolean fetchElsewhere(ServerAttempt from) {
+		if (!(from.step() instanceof KvStep.Fetch fetch) || this.unusedHandle.isEmpty()) {
+			return false;
+		}
+		Optional<ServerTrack> target = this.dispatcher.placeFetch(this, from.source(), this.avoided);
+		target.ifPresent((engine) -> send(engine, 1, fetch, from.prefill()));
+		return target.isPresent();
+	}
+
 	private void finishWithout(AttemptFailure failure, RefusalReason reason) {
 		if (this.streaming) {
 			breakOff("attempt failed: " + failure.label());
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -101,6 +101,18 @@
 		return this.step;
 	}
 
+	@Nullable ServerAttempt prefill() {
+		return this.prefill;
+	}
+
+	/**
+	 * Returns the engine that read the prompt.
+	 * @return the engine of the attempt before, if this one fetches the KV cache
+	 */
+	ServerTrack source() {
+		return reader().track;
+	}
+
 	boolean mayHaveRun() {
 		return this.sending && !(this.step instanceof KvStep.Prefill);
 	}
@@ -176,11 +188,16 @@
 	}
 
 	private void onNotRun(long nowMs) {
-		if (this.head != null && this.head.status() != MISDIRECTED) {
+		boolean misdirected = this.head != null && this.head.status() == MISDIRECTED;
+		if (misdirected) {
+			// Another server, or another life of this one, has its address.
+			this.track.health().onBroken(nowMs);
+		}
+		else {
 			this.track.window().onRejected(this.request.input().route().targetMs(), nowMs);
 		}
 		detach();
-		this.request.onNotRun(this, AttemptFailure.SERVER_FULL);
+		this.request.onNotRun(this, misdirected ? AttemptFailure.SERVER_UNREACHABLE : AttemptFailure.SERVER_FULL, true);
 	}
 
 	// The rest of the answer is read, so that the connection can serve another request.
@@ -299,7 +316,7 @@
 		end();
 		this.track.health().onBroken(this.dispatcher.nowMs());
 		if (!sent) {
-			this.request.onNotRun(this, AttemptFailure.SERVER_UNREACHABLE);
+			this.request.onNotRun(this, AttemptFailure.SERVER_UNREACHABLE, false);
 			return;
 		}
 		this.request.onFailed(this, AttemptFailure.SERVER_CRASHED);
--- /dev/null
+++ b/gateway/src/test/java/io/anvilusher/gateway/control/DutyMembershipTests.java
@@ -0,0 +1,121 @@
+package io.anvilusher.gateway.control;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
+
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import io.anvilusher.adapters.control.ControlThread;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.fail;
+
+public class DutyMembershipTests {
+
+	private static final long LEASE_MS = 60;
+
+	private final AtomicLong nowMs = new AtomicLong(1_000);
+
+	private final AtomicReference<DutyGroup.Membership> answer = new AtomicReference<>();
+
+	private ControlThread thread;
+
+	private DutyMembership membership;
+
+	@BeforeMethod
+	public void start() {
+		this.thread = new ControlThread();
+		this.answer.set(new DutyGroup.Membership(true, 1, true));
+		this.membership = new DutyMembership("m", new DutyGroup() {
+
+			@Override
+			public CompletableFuture<Membership> join(String member, long generation, long ttlMs) {
+				return CompletableFuture.completedFuture(DutyMembershipTests.this.answer.get());
+			}
+
+			@Override
+			public CompletableFuture<Boolean> leave(String member) {
+				return CompletableFuture.completedFuture(true);
+			}
+
+		}, LEASE_MS, this.thread, this.nowMs::get);
+		this.membership.start();
+		await(this::mayAct);
+	}
+
+	@AfterMethod
+	public void stop() {
+		this.thread.close();
+	}
+
+	private boolean mayAct() {
+		return onThread(() -> this.membership.mayAct());
+	}
+
+	private boolean onThread(BooleanSupplier question) {
+		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		this.thread.run(() -> result.complete(question.getAsBoolean()));
+		return result.join();
+	}
+
+	private static void await(BooleanSupplier condition) {
+		long untilNs = System.nanoTime() + Duration.ofSeconds(5).toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() > untilNs) {
+				fail("Condition did not come true within 5 s");
+			}
+			Thread.onSpinWait();
+		}
+	}
+
+	@Test
+	public void aHolderActsAsOftenAsItNeeds() {
+		assertEquals(this.membership.act(), 1);
+		assertTrue(mayAct());
+	}
+
+	@Test
+	public void aProcessThatGetsTheDutiesBackWaitsForALeaseSinceItActed() {
+		this.membership.act();
+		this.answer.set(new DutyGroup.Membership(true, 2, false));
+		await(() -> !mayAct());
+		this.answer.set(new DutyGroup.Membership(true, 3, true));
+		await(() -> onThread(() -> this.membership.isHolder()));
+		assertFalse(mayAct());
+		this.nowMs.addAndGet(LEASE_MS + 1);
+		await(this::mayAct);
+		assertEquals(this.membership.act(), 3);
+		assertTrue(mayAct());
+	}
+
+	@Test
+	public void aLeaseThatWasNotRenewedEnds() {
+		this.answer.set(new DutyGroup.Membership(false, 0, false));
+		await(() -> {
+			this.nowMs.addAndGet(LEASE_MS);
+			return !mayAct();
+		});
+	}
+
+	@Test
+	public void nothingIsDoneWithATokenThatWasRefused() {
+		this.membership.onFenced(1);
+		assertFalse(mayAct());
+		this.answer.set(new DutyGroup.Membership(true, 2, true));
+		await(this::mayAct);
+	}
+
+	@Test
+	public void aProcessThatLeavesDoesNotAct() {
+		this.membership.leave().join();
+		assertFalse(mayAct());
+	}
+
+}
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -91,6 +91,22 @@
 			.orElseGet(Placement.Full::new);
 	}
 
+	/**
+	 * Finds an engine that fetches a KV cache, after another one did not take it.
+	 * @param source the engine that keeps the KV cache
+	 * @param engines the engines of the service that may be used
+	 * @param avoided engines that this request was sent to before
+	 * @param nowMs the time
+	 * @return the engine, or empty if none generates
+	 */
+	public Optional<ServerTrack> placeFetch(ServerTrack source, List<ServerTrack> engines, Set<String> avoided,
+			long nowMs) {
+		List<ServerTrack> decode = usable(engines, avoided, nowMs).stream()
+			.filter((engine) -> !engine.isPrefill())
+			.toList();
+		return decode.isEmpty() ? Optional.empty() : Optional.of(forFetch(source, decode, nowMs));
+	}
+
 	private static List<ServerTrack> usable(List<ServerTrack> engines, Set<String> avoided, long nowMs) {
 		List<ServerTrack> fresh = engines.stream().filter((engine) -> !avoided.contains(engine.server().id())).toList();
 		List<ServerTrack> sound = fresh.stream().filter((engine) -> !engine.health().isDoubtful(nowMs)).toList();
--- a/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
+++ b/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
@@ -81,7 +81,8 @@
 			int least = (int) Math.ceil(MIN_PREFILL_SHARE * engines.size());
 			return change(engines, EngineRole.DECODE, Math.min(Math.min(missing, allowed), prefill - least));
 		}
-		boolean observed = isIdle(engines) || nowMs - this.startedAtMs >= OBSERVE_MS;
+		boolean loadSeen = this.startedAtMs != Long.MIN_VALUE;
+		boolean observed = loadSeen ? !isIdle(engines) && nowMs - this.startedAtMs >= OBSERVE_MS : true;
 		int spare = decode - Math.max(needed(engines, FILL_SHARE), dataCentres(engines));
 		return (observed && spare > 0) ? change(engines, EngineRole.PREFILL, Math.min(spare, allowed)) : List.of();
 	}
--- a/logic/src/main/java/io/anvilusher/logic/usage/UsageFold.java
+++ b/logic/src/main/java/io/anvilusher/logic/usage/UsageFold.java
@@ -62,6 +62,18 @@
 		return total;
 	}
 
+	/**
+	 * Tells whether all processes that counted in the window before have counted in a
+	 * window.
+	 * @param window number of the window
+	 * @return whether they have
+	 */
+	public boolean isComplete(long window) {
+		return this.countsByWindow.getOrDefault(window, Map.of())
+			.keySet()
+			.containsAll(this.countsByWindow.getOrDefault(window - 1, Map.of()).keySet());
+	}
+
 	/**
 	 * Returns the figures that a seal has fixed.
 	 * @param window number of the window
--- a/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
@@ -44,4 +44,17 @@
 		assertEquals(time.trueMs(1_019_000, 14_000), 1_019_000);
 	}
 
+	@Test
+	public void aWindowIsCompleteWhenAllWhoCountedBeforeHaveCounted() {
+		UsageFold fold = new UsageFold();
+		fold.onCounts("a", 1, Map.of("w", 1L));
+		fold.onCounts("b", 1, Map.of("w", 1L));
+		fold.onCounts("a", 2, Map.of("w", 1L));
+		assertFalse(fold.isComplete(2));
+		fold.onCounts("b", 2, Map.of("w", 1L));
+		fold.onCounts("c", 2, Map.of("w", 1L));
+		assertTrue(fold.isComplete(2));
+		assertFalse(fold.isComplete(3));
+	}
+
 }
