Take engines from generation only before load, and give back only those

Change: engines are taken only before any load was seen; only engines that have carried out orders go back.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -167,13 +167,13 @@
 	public static Gateway start(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		Gateway gateway = new Gateway(settings, factory);
 		gateway.front.start();
-		gateway.usage.ifPresent(UsageDuty::start);
-		gateway.roles.start();
-		gateway.duties.start();
 		ReadyServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
 		AdminServer.start(settings.metricsAddress(), gateway.meters, gateway::isReady, gateway::status);
 		// Network traffic begins when this thread has loaded what a start needs.
 		gateway.follow();
+		gateway.usage.ifPresent(UsageDuty::start);
+		gateway.roles.start();
+		gateway.duties.start();
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
 		return gateway;
--- a/gateway/src/main/java/io/anvilusher/gateway/control/RoleDuty.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/RoleDuty.java
@@ -164,7 +164,7 @@
 		EngineState state(Map<String, Long> untouchedUntilMs, long nowMs) {
 			boolean untouched = untouchedUntilMs.getOrDefault(this.engine.id(), Long.MIN_VALUE) > nowMs;
 			return new EngineState(this.engine.id(), this.engine.dataCentre(), this.report.role(), this.engine.slots(),
-					this.report.requests(), this.report.changing() || untouched);
+					this.report.requests(), this.report.changing() || untouched, this.report.ordersAccepted() > 0);
 		}
 
 	}
