Deliver a server's own error when no other server can run the request

Cause: a plain request whose server answered 5xx was sent again before a place was known; with none, the caller got 502 instead of the server's answer. The test failed first (502), then passed. The server's answer is given up only when another server has a place.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -206,6 +206,11 @@
 		if (this.done || this.input.route().isStream() || !this.input.route().isRepeatable()) {
 			return false;
 		}
+		Set<String> tried = new HashSet<>(this.avoided);
+		tried.add(from.serverId());
+		if (!(this.dispatcher.place(this, tried) instanceof Placement.Whole)) {
+			return false;
+		}
 		this.mayHaveRun = true;
 		this.runs++;
 		return repeat(from, AttemptFailure.SERVER_CRASHED, true);
