--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -117,7 +117,8 @@
 	}
 
 	Optional<ServerTrack> placeFetch(GatewayRequest request, ServerTrack source, Set<String> avoided) {
-		return this.enginePlacer.placeFetch(source, this.fleet.servers(request.input().service()), avoided, nowMs());
+		return this.enginePlacer.placeFetch(source, this.fleet.servers(request.input().service()), avoided,
+				request.input().route().targetMs(), nowMs());
 	}
 
 	boolean await(GatewayRequest request) {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -325,7 +325,7 @@
 	private void settle() {
 		if (!this.settled) {
 			this.settled = true;
-			this.track.window().onSettled(this.uncachedTokens);
+			this.track.window().onSettled(this.uncachedTokens, this.dispatcher.nowMs());
 		}
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -45,7 +45,7 @@
 	/**
 	 * Age up to which a count of running requests counts, in ms. Source: a long answer.
 	 */
-	static final long RUNNING_AGE_MS = 3_000;
+	static final long RUNNING_AGE_MS = 8_000;
 
 	/**
 	 * Part of an engine's slots that short prompts fill before they use the next engine.
@@ -81,7 +81,7 @@
 			return new Placement.Nowhere();
 		}
 		if (prompt.sharedTokens() < MIN_AFFINITY_TOKENS) {
-			ServerTrack engine = forShortPrompt(decode, nowMs);
+			ServerTrack engine = forShortPrompt(decode, targetMs, nowMs);
 			return new Placement.Whole(engine, engine.uncachedTokens(prompt));
 		}
 		List<ServerTrack> quiet = usable.stream()
@@ -96,15 +96,16 @@
 	 * @param source the engine that keeps the KV cache
 	 * @param engines the engines of the service that may be used
 	 * @param avoided engines that this request was sent to before
+	 * @param targetMs objective for the first event
 	 * @param nowMs the time
 	 * @return the engine, or empty if none generates
 	 */
 	public Optional<ServerTrack> placeFetch(ServerTrack source, List<ServerTrack> engines, Set<String> avoided,
-			long nowMs) {
+			long targetMs, long nowMs) {
 		List<ServerTrack> decode = usable(engines, avoided, nowMs).stream()
 			.filter((engine) -> !engine.isPrefill())
 			.toList();
-		return decode.isEmpty() ? Optional.empty() : Optional.of(forFetch(source, decode, nowMs));
+		return decode.isEmpty() ? Optional.empty() : Optional.of(forFetch(source, decode, targetMs, nowMs));
 	}
 
 	private static List<ServerTrack> usable(List<ServerTrack> engines, Set<String> avoided, long nowMs) {
@@ -127,7 +128,8 @@
 			.limit(HOME_CANDIDATES)
 			.toList();
 		return IntStream.range(0, homes.size())
-			.mapToObj((rank) -> placeAt(homes.get(rank), tokensToRead(prompt, homes.get(rank), rank), decode, nowMs))
+			.mapToObj((rank) -> placeAt(homes.get(rank), tokensToRead(prompt, homes.get(rank), rank), decode, targetMs,
+					nowMs))
 			.filter((placement) -> fits(placement, targetMs, nowMs))
 			.findFirst();
 	}
@@ -139,8 +141,9 @@
 				: tokens;
 	}
 
-	private static Placement placeAt(ServerTrack engine, int tokens, List<ServerTrack> decode, long nowMs) {
-		return engine.isPrefill() ? new Placement.Split(engine, forFetch(engine, decode, nowMs), tokens)
+	private static Placement placeAt(ServerTrack engine, int tokens, List<ServerTrack> decode, long targetMs,
+			long nowMs) {
+		return engine.isPrefill() ? new Placement.Split(engine, forFetch(engine, decode, targetMs, nowMs), tokens)
 				: new Placement.Whole(engine, tokens);
 	}
 
@@ -153,19 +156,21 @@
 	}
 
 	// A transfer between data centres takes longer and costs more.
-	private static ServerTrack forFetch(ServerTrack source, List<ServerTrack> decode, long nowMs) {
+	private static ServerTrack forFetch(ServerTrack source, List<ServerTrack> decode, long targetMs, long nowMs) {
 		List<ServerTrack> near = decode.stream()
 			.filter((engine) -> engine.server().dataCentre().equals(source.server().dataCentre()))
 			.toList();
 		return (near.isEmpty() ? decode : near).stream()
-			.min(Comparator.<ServerTrack>comparingInt((engine) -> engine.waiting(nowMs, WAITING_AGE_MS))
+			.min(Comparator.<ServerTrack, Boolean>comparing((engine) -> engine.window().isStalled(targetMs, nowMs))
+				.thenComparingInt((engine) -> engine.waiting(nowMs, WAITING_AGE_MS))
 				.thenComparingInt((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS))
 				.thenComparingDouble((engine) -> engine.window().pendingTokens()))
 			.orElseThrow();
 	}
 
-	private static ServerTrack forShortPrompt(List<ServerTrack> decode, long nowMs) {
+	private static ServerTrack forShortPrompt(List<ServerTrack> decode, long targetMs, long nowMs) {
 		return decode.stream()
+			.filter((engine) -> !engine.window().isStalled(targetMs, nowMs))
 			.sorted(Comparator
 				.comparingDouble((engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1)))
 			.filter((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS) < FILL_SHARE * engine.server().slots())
--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -37,8 +37,17 @@
 
 	private double pendingTokens;
 
+	/**
+	 * Part of the objective without any progress after which an engine is stalled.
+	 */
+	static final double STALLED_SHARE = 0.65;
+
 	private long lastSentMs = Long.MIN_VALUE / 2;
 
+	private int pendingPrompts;
+
+	private long progressMs;
+
 	private long lastShrinkMs = Long.MIN_VALUE / 2;
 
 	/**
@@ -50,12 +59,27 @@
 	 * @return whether it may
 	 */
 	public boolean fits(double tokens, long targetMs, long nowMs) {
+		if (isStalled(targetMs, nowMs)) {
+			return false;
+		}
 		if (this.pendingTokens + tokens <= this.limitTokens) {
 			return true;
 		}
 		return this.pendingTokens < 1 && nowMs - this.lastSentMs >= targetMs * tokens / this.limitTokens;
 	}
 
+	/**
+	 * Tells whether prompts wait at the engine and none was read for a good part of the
+	 * objective. All slots may be taken by long answers of other gateways' requests,
+	 * which this gateway learns from no answer.
+	 * @param targetMs objective for the first event
+	 * @param nowMs the time
+	 * @return whether it is stalled
+	 */
+	public boolean isStalled(long targetMs, long nowMs) {
+		return this.pendingPrompts > 0 && nowMs - this.progressMs > STALLED_SHARE * targetMs;
+	}
+
 	/**
 	 * Notes a prompt that is being sent.
 	 * @param tokens tokens that the engine has to read
@@ -64,14 +88,20 @@
 	public void onSent(double tokens, long nowMs) {
 		this.lastSentMs = nowMs;
 		this.pendingTokens += tokens;
+		if (this.pendingPrompts++ == 0) {
+			this.progressMs = nowMs;
+		}
 	}
 
 	/**
 	 * Notes that a prompt was read, or that its request ended without.
 	 * @param tokens tokens as noted when it was sent
+	 * @param nowMs the time
 	 */
-	public void onSettled(double tokens) {
+	public void onSettled(double tokens, long nowMs) {
 		this.pendingTokens = Math.max(0, this.pendingTokens - tokens);
+		this.pendingPrompts = Math.max(0, this.pendingPrompts - 1);
+		this.progressMs = nowMs;
 	}
 
 	/**
--- a/logic/src/test/java/io/anvilusher/logic/placement/LoadReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/LoadReplay.java
@@ -99,7 +99,7 @@
 		track.window().onSent(tokens, (long) atMs);
 		double firstMs = engine.read(prompt, atMs) + GENERATE_MS;
 		this.events.add(new Event(firstMs, () -> {
-			track.window().onSettled(tokens);
+			track.window().onSettled(tokens, (long) firstMs);
 			track.window().onFirstEvent(tokens, (long) (firstMs - atMs), TARGET_MS, (long) firstMs);
 			track.onRead(prompt.sharedParts());
 			if (firstMs - atMs <= TARGET_MS) {
--- /dev/null
+++ b/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
@@ -0,0 +1,87 @@
+package io.anvilusher.logic.placement;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.testng.annotations.Test;
+
+import io.anvilusher.model.fleet.EngineRole;
+import io.anvilusher.model.fleet.RegisteredServer;
+import io.anvilusher.model.request.PromptPart;
+import io.anvilusher.model.request.PromptShape;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Many gateways share engines with few slots: one of them learns that long answers of the
+ * others hold all slots only from its own requests, which get no answer.
+ */
+public class StalledEngineTests {
+
+	private static final long TARGET_MS = 200;
+
+	private static final PromptShape SHORT = new PromptShape(200, 50, List.of(new PromptPart("q", 200)));
+
+	private static final PromptShape LONG = new PromptShape(9_000, 2,
+			List.of(new PromptPart("s", 6_000), new PromptPart("q", 3_000)));
+
+	private final EnginePlacer placer = new EnginePlacer();
+
+	private static List<ServerTrack> decodeEngines(int count) {
+		return IntStream.range(0, count)
+			.mapToObj((index) -> new ServerTrack(new RegisteredServer("d" + index, 1, "llm", "10.0.0." + index + ":1",
+					"a", 8, false, Optional.of(EngineRole.DECODE))))
+			.toList();
+	}
+
+	private static ServerTrack send(Placement placement, long nowMs) {
+		Placement.Whole whole = (Placement.Whole) placement;
+		whole.server().onSent(nowMs);
+		whole.server().window().onSent(whole.uncachedTokens(), nowMs);
+		return whole.server();
+	}
+
+	@Test
+	public void aShortPromptGoesElsewhereOnceAnEngineDoesNotAnswer() {
+		List<ServerTrack> engines = decodeEngines(4);
+		ServerTrack first = send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 0), 0);
+		assertEquals(send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 20), 20), first);
+		assertNotEquals(send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 150), 150), first);
+	}
+
+	@Test
+	public void aLongPromptGoesElsewhereOnceItsHomeDoesNotAnswer() {
+		List<ServerTrack> engines = decodeEngines(4);
+		ServerTrack home = send(this.placer.place(LONG, engines, Set.of(), TARGET_MS, 0), 0);
+		home.onRead(LONG.sharedParts());
+		assertEquals(((Placement.Whole) this.placer.place(LONG, engines, Set.of(), TARGET_MS, 20)).server(), home);
+		assertNotEquals(((Placement.Whole) this.placer.place(LONG, engines, Set.of(), TARGET_MS, 150)).server(), home);
+	}
+
+	@Test
+	public void anEngineThatReadsOneAfterAnotherIsNotStalled() {
+		PromptWindow window = new PromptWindow();
+		window.onSent(100, 0);
+		window.onSent(100, 0);
+		window.onSettled(100, 100);
+		assertFalse(window.isStalled(TARGET_MS, 200));
+		assertTrue(window.isStalled(TARGET_MS, 240));
+		window.onSettled(100, 250);
+		assertFalse(window.isStalled(TARGET_MS, 1_000));
+	}
+
+	@Test
+	public void aCacheIsFetchedByAnEngineThatAnswers() {
+		List<ServerTrack> engines = decodeEngines(2);
+		ServerTrack source = new ServerTrack(
+				new RegisteredServer("p", 1, "llm", "10.0.1.1:1", "a", 8, false, Optional.of(EngineRole.PREFILL)));
+		engines.get(0).window().onSent(1, 0);
+		assertEquals(this.placer.placeFetch(source, engines, Set.of(), TARGET_MS, 300).orElseThrow(), engines.get(1));
+	}
+
+}
