--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -52,6 +52,15 @@
 	 */
 	static final double FILL_SHARE = 0.75;
 
+	/** Engines that short prompts spread over when little is known. */
+	static final int SPREAD_ENGINES = 3;
+
+	/**
+	 * Age up to which a report says whether an engine has room, in ms. Source: a part of
+	 * a long answer.
+	 */
+	static final long FRESH_MS = 1_000;
+
 	/**
 	 * Running requests from which an engine is in use for short prompts. Source: more
 	 * than long prompts leave running.
@@ -81,7 +90,7 @@
 			return new Placement.Nowhere();
 		}
 		if (prompt.sharedTokens() < MIN_AFFINITY_TOKENS) {
-			ServerTrack engine = forShortPrompt(decode, targetMs, nowMs);
+			ServerTrack engine = forShortPrompt(prompt, decode, targetMs, nowMs);
 			return new Placement.Whole(engine, engine.uncachedTokens(prompt));
 		}
 		List<ServerTrack> quiet = usable.stream()
@@ -168,16 +177,30 @@
 			.orElseThrow();
 	}
 
-	private static ServerTrack forShortPrompt(List<ServerTrack> decode, long targetMs, long nowMs) {
-		return decode.stream()
-			.filter((engine) -> !engine.window().isStalled(targetMs, nowMs))
+	// The first engine with room is the one that all gateways fill. One that was not
+	// heard
+	// of lately may have been filled by others meanwhile, so gateways then spread over
+	// some.
+	private static ServerTrack forShortPrompt(PromptShape prompt, List<ServerTrack> decode, long targetMs, long nowMs) {
+		List<ServerTrack> open = decode.stream()
 			.sorted(Comparator
 				.comparingDouble((engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1)))
+			.filter((engine) -> !engine.window().isStalled(targetMs, nowMs))
 			.filter((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS) < FILL_SHARE * engine.server().slots())
-			.findFirst()
-			.orElseGet(() -> decode.stream()
+			.limit(SPREAD_ENGINES)
+			.toList();
+		if (open.isEmpty()) {
+			return decode.stream()
 				.min(Comparator.comparingInt((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS)))
-				.orElseThrow());
+				.orElseThrow();
+		}
+		if (open.get(0).reportAgeMs(nowMs) <= FRESH_MS || prompt.parts().isEmpty()) {
+			return open.get(0);
+		}
+		String draw = prompt.parts().get(prompt.parts().size() - 1).id() + nowMs;
+		return open.stream()
+			.min(Comparator.comparingDouble((engine) -> Rendezvous.rank(engine.server().id(), draw, 1)))
+			.orElseThrow();
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/placement/ServerTrack.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ServerTrack.java
@@ -138,6 +138,15 @@
 		return (nowMs - this.reportedAtMs <= maxAgeMs) ? this.reportedWaiting : 0;
 	}
 
+	/**
+	 * Returns the age of the newest report.
+	 * @param nowMs the time
+	 * @return milliseconds; very many without a report
+	 */
+	public long reportAgeMs(long nowMs) {
+		return nowMs - this.reportedAtMs;
+	}
+
 	/**
 	 * Returns the requests that this gateway has at the server.
 	 * @return requests
--- a/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
@@ -1,5 +1,6 @@
 package io.anvilusher.logic.placement;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -49,6 +50,7 @@
 	@Test
 	public void aShortPromptGoesElsewhereOnceAnEngineDoesNotAnswer() {
 		List<ServerTrack> engines = decodeEngines(4);
+		engines.forEach((engine) -> engine.onLoadReport(0, 0, 0));
 		ServerTrack first = send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 0), 0);
 		assertEquals(send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 20), 20), first);
 		assertNotEquals(send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 150), 150), first);
@@ -84,4 +86,15 @@
 		assertEquals(this.placer.placeFetch(source, engines, Set.of(), TARGET_MS, 300).orElseThrow(), engines.get(1));
 	}
 
+	@Test
+	public void shortPromptsSpreadWhenNothingIsKnownOfTheEngines() {
+		List<ServerTrack> engines = decodeEngines(8);
+		Set<ServerTrack> used = new HashSet<>();
+		for (int index = 0; index < 100; index++) {
+			PromptShape prompt = new PromptShape(200, 50, List.of(new PromptPart("q" + index, 200)));
+			used.add(((Placement.Whole) this.placer.place(prompt, engines, Set.of(), TARGET_MS, 0)).server());
+		}
+		assertEquals(used.size(), EnginePlacer.SPREAD_ENGINES);
+	}
+
 }
