--- a/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
+++ b/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
@@ -101,9 +101,8 @@
 		return (int) Math.ceil(Math.max(this.peakRequests, this.earlierPeakRequests) / (SCARCE_SHARE * slots(engines)));
 	}
 
-	// Engines leave a role where it has most of them, so that each data centre keeps some
-	// of
-	// both; in a data centre the least busy one goes first.
+	// Engines leave a role where it has most of them, so that each data centre keeps
+	// some of both; in a data centre the least busy one goes first.
 	private static List<RoleChange> change(List<EngineState> engines, EngineRole role, int count) {
 		Map<String, List<EngineState>> byDataCentre = engines.stream()
 			.filter((engine) -> engine.role() != role)
