Rank servers once for a choice, with one hash for both products

Cause: the engine placer computed a server's rank at each comparison of a sort, for every placement and every look at the waiting requests; it chose the engine that fetches before it knew whether the reader had room; and its hash stood in PrefixAffinePicker as well. Change: Rendezvous moves to logic.routing, orders by ranks computed once, and serves the picker; a home is checked for room before the rest of its placement is made; two filters of generating engines became one. The order, the draws and the placements are the same; the tests of logic pass unchanged.

--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 
+import io.anvilusher.logic.routing.Rendezvous;
 import io.anvilusher.model.request.PromptPart;
 import io.anvilusher.model.request.PromptShape;
 
@@ -85,7 +86,7 @@
 	public Placement place(PromptShape prompt, List<ServerTrack> engines, Set<String> avoided, long targetMs,
 			long nowMs) {
 		List<ServerTrack> usable = usable(engines, avoided, nowMs);
-		List<ServerTrack> decode = usable.stream().filter((engine) -> !engine.isPrefill()).toList();
+		List<ServerTrack> decode = generating(usable);
 		if (decode.isEmpty()) {
 			return new Placement.Nowhere();
 		}
@@ -111,9 +112,7 @@
 	 */
 	public Optional<ServerTrack> placeFetch(ServerTrack source, List<ServerTrack> engines, Set<String> avoided,
 			long targetMs, long nowMs) {
-		List<ServerTrack> decode = usable(engines, avoided, nowMs).stream()
-			.filter((engine) -> !engine.isPrefill())
-			.toList();
+		List<ServerTrack> decode = generating(usable(engines, avoided, nowMs));
 		return decode.isEmpty() ? Optional.empty() : Optional.of(forFetch(source, decode, targetMs, nowMs));
 	}
 
@@ -123,6 +122,10 @@
 		return sound.stream().allMatch(ServerTrack::isPrefill) ? fresh : sound;
 	}
 
+	private static List<ServerTrack> generating(List<ServerTrack> engines) {
+		return engines.stream().filter((engine) -> !engine.isPrefill()).toList();
+	}
+
 	private static boolean isInUseForShortPrompts(ServerTrack engine, long nowMs) {
 		return engine.occupancy(nowMs, RUNNING_AGE_MS) >= IN_USE_REQUESTS;
 	}
@@ -131,16 +134,13 @@
 			List<ServerTrack> decode, long targetMs, long nowMs) {
 		List<PromptPart> shared = prompt.sharedParts();
 		String key = shared.get(shared.size() - 1).id();
-		List<ServerTrack> homes = readers.stream()
-			.sorted(Comparator.comparingDouble(
-					(engine) -> Rendezvous.rank(engine.server().id(), key, engine.isPrefill() ? PREFILL_SHARE : 1)))
-			.limit(HOME_CANDIDATES)
-			.toList();
-		return IntStream.range(0, homes.size())
-			.mapToObj((rank) -> placeAt(homes.get(rank), tokensToRead(prompt, homes.get(rank), rank), decode, targetMs,
-					nowMs))
-			.filter((placement) -> fits(placement, targetMs, nowMs))
-			.findFirst();
+		List<ServerTrack> homes = Rendezvous.order(readers,
+				(engine) -> Rendezvous.rank(engine.server().id(), key, engine.isPrefill() ? PREFILL_SHARE : 1));
+		return IntStream.range(0, Math.min(HOME_CANDIDATES, homes.size()))
+			.mapToObj((rank) -> new Home(homes.get(rank), tokensToRead(prompt, homes.get(rank), rank)))
+			.filter((home) -> home.engine().window().fits(home.tokens(), targetMs, nowMs))
+			.findFirst()
+			.map((home) -> placeAt(home, decode, targetMs, nowMs));
 	}
 
 	// Other gateways send the same parts to the same first home, so it likely has them.
@@ -150,18 +150,10 @@
 				: tokens;
 	}
 
-	private static Placement placeAt(ServerTrack engine, int tokens, List<ServerTrack> decode, long targetMs,
-			long nowMs) {
-		return engine.isPrefill() ? new Placement.Split(engine, forFetch(engine, decode, targetMs, nowMs), tokens)
-				: new Placement.Whole(engine, tokens);
-	}
-
-	private static boolean fits(Placement placement, long targetMs, long nowMs) {
-		if (placement instanceof Placement.Split split) {
-			return split.prefill().window().fits(split.uncachedTokens(), targetMs, nowMs);
-		}
-		return placement instanceof Placement.Whole whole
-				&& whole.server().window().fits(whole.uncachedTokens(), targetMs, nowMs);
+	private static Placement placeAt(Home home, List<ServerTrack> decode, long targetMs, long nowMs) {
+		return home.engine().isPrefill()
+				? new Placement.Split(home.engine(), forFetch(home.engine(), decode, targetMs, nowMs), home.tokens())
+				: new Placement.Whole(home.engine(), home.tokens());
 	}
 
 	// A transfer between data centres takes longer and costs more.
@@ -177,14 +169,12 @@
 			.orElseThrow();
 	}
 
-	// The first engine with room is the one that all gateways fill. One that was not
-	// heard
-	// of lately may have been filled by others meanwhile, so gateways then spread over
-	// some.
+	// All gateways fill the first engine with room. If it was not heard of lately, others
+	// may have filled it meanwhile, so gateways then spread over some engines.
 	private static ServerTrack forShortPrompt(PromptShape prompt, List<ServerTrack> decode, long targetMs, long nowMs) {
-		List<ServerTrack> open = decode.stream()
-			.sorted(Comparator
-				.comparingDouble((engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1)))
+		List<ServerTrack> open = Rendezvous
+			.order(decode, (engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1))
+			.stream()
 			.filter((engine) -> !engine.window().isStalled(targetMs, nowMs))
 			.filter((engine) -> engine.occupancy(nowMs, RUNNING_AGE_MS) < FILL_SHARE * engine.server().slots())
 			.limit(SPREAD_ENGINES)
@@ -203,4 +193,8 @@
 			.orElseThrow();
 	}
 
+	private record Home(ServerTrack engine, int tokens) {
+
+	}
+
 }
--- a/logic/src/main/java/io/anvilusher/logic/routing/PrefixAffinePicker.java
+++ b/logic/src/main/java/io/anvilusher/logic/routing/PrefixAffinePicker.java
@@ -47,24 +47,10 @@
 
 	private static ServerLoad preferred(List<ServerLoad> servers, long prefixHash) {
 		return servers.stream()
-			.max(Comparator.comparingLong((server) -> rendezvous(server.server(), prefixHash)))
+			.max(Comparator.comparingLong((server) -> Rendezvous.mix(server.server(), prefixHash)))
 			.orElseThrow();
 	}
 
-	/**
-	 * Weighs a server for a prefix, so that the loss of a server moves only its own
-	 * prefixes.
-	 * @param server name of the server
-	 * @param prefixHash hash of the prefix
-	 * @return the weight
-	 */
-	private static long rendezvous(String server, long prefixHash) {
-		long mixed = prefixHash ^ (server.hashCode() * 0x9E3779B97F4A7C15L);
-		mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
-		mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-		return mixed ^ (mixed >>> 31);
-	}
-
 	private ServerLoad lessBusyOfTwo(List<ServerLoad> free) {
 		int firstIndex = this.random.nextInt(free.size());
 		ServerLoad first = free.get(firstIndex);
