Share the listener options and the count of requests in hand

Cause: GatewayFront repeated nine listener options of HttpFront and its handling of requests in hand and of connections while draining. Change: CallerListener and RequestsInHand in adapters serve both. Each front keeps its own threads, backlog, limits and further options.

--- a/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/HttpFront.java
@@ -3,16 +3,15 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.undertow.Undertow;
-import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.Options;
 
+import io.anvilusher.adapters.http.CallerListener;
+import io.anvilusher.adapters.http.RequestsInHand;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.entry.EntrySettings;
@@ -29,6 +28,9 @@
 	/** Nothing is run on worker threads, so that no caller can hold one. */
 	private static final int WORKER_THREADS = 1;
 
+	/** Connections that may wait to be accepted. */
+	private static final int BACKLOG = 4096;
+
 	private static final int IDLE_CONNECTION_MS = 60_000;
 
 	private static final long QUIET_MS = 300;
@@ -46,9 +48,7 @@
 
 	private final Meters meters;
 
-	private final AtomicInteger inHand = new AtomicInteger();
-
-	private volatile boolean draining;
+	private final RequestsInHand inHand;
 
 	private volatile long lastRequestAtMs;
 
@@ -68,25 +68,18 @@
 		this.configuration = configuration;
 		this.clock = clock;
 		this.meters = meters;
-		InetSocketAddress address = settings.httpAddress();
-		this.undertow = Undertow.builder()
-			.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
+		this.inHand = new RequestsInHand(meters);
+		this.undertow = CallerListener
+			.builder(settings.httpAddress(),
+					new CallerListener.Limits(settings.maxHeadBytes(), settings.maxBodyBytes(),
+							settings.callerTimeoutMs(), IDLE_CONNECTION_MS),
+					BACKLOG)
 			.setIoThreads(IO_THREADS)
 			.setWorkerThreads(WORKER_THREADS)
-			.setSocketOption(Options.BACKLOG, 4096)
-			.setSocketOption(Options.TCP_NODELAY, true)
-			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, settings.maxHeadBytes())
-			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, settings.maxBodyBytes())
-			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, settings.callerTimeoutMs())
-			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MS)
-			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
-			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-			.setServerOption(UndertowOptions.DECODE_URL, false)
 			.setSocketOption(Options.READ_TIMEOUT, settings.callerTimeoutMs())
 			.setSocketOption(Options.WRITE_TIMEOUT, settings.callerTimeoutMs())
 			.setHandler(this::handle)
 			.build();
-		meters.gauge("anvilusher.requests.in.hand", this.inHand, AtomicInteger::get);
 	}
 
 	/**
@@ -106,22 +99,14 @@
 
 	private void handle(HttpServerExchange http) {
 		this.lastRequestAtMs = this.clock.nowMs();
-		this.inHand.incrementAndGet();
-		http.addExchangeCompleteListener((ended, next) -> {
-			this.inHand.decrementAndGet();
-			next.proceed();
-		});
-		if (this.draining) {
-			http.setPersistent(false);
-			http.getResponseHeaders().put(Headers.CONNECTION, "close");
-		}
+		this.inHand.add(http);
 		http.dispatch(SameThreadExecutor.INSTANCE, () -> accept(http));
 	}
 
 	private void accept(HttpServerExchange http) {
 		String requestId = RequestIds.of(http);
 		UndertowAnswerSink sink = new UndertowAnswerSink(http, requestId);
-		if (this.draining && this.clock.nowMs() > this.refuseFromMs) {
+		if (this.inHand.isDraining() && this.clock.nowMs() > this.refuseFromMs) {
 			refuse(sink, RefusalReason.ENTRY_DRAINING);
 			return;
 		}
@@ -146,14 +131,12 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public boolean drain(long timeoutMs) throws InterruptedException {
-		// Undertow closes the open connections when a listener is suspended, so the
-		// listener
-		// stays open and the balancer, which sees an entry that is not ready, stops
-		// sending.
-		this.draining = true;
+		// Undertow closes the open connections when a listener is suspended, so it stays
+		// open, and the balancer stops sending to an entry that is not ready.
+		this.inHand.startDraining();
 		long untilMs = this.clock.nowMs() + timeoutMs;
 		this.refuseFromMs = this.clock.nowMs() + REFUSE_AFTER_MS;
-		while (this.inHand.get() > 0 || this.clock.nowMs() - this.lastRequestAtMs < QUIET_MS) {
+		while (this.inHand.count() > 0 || this.clock.nowMs() - this.lastRequestAtMs < QUIET_MS) {
 			if (this.clock.nowMs() > untilMs) {
 				return false;
 			}
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayFront.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayFront.java
@@ -5,21 +5,20 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
-import org.xnio.Options;
 import org.xnio.XnioWorker;
 
+import io.anvilusher.adapters.http.CallerListener;
+import io.anvilusher.adapters.http.RequestsInHand;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.request.CallerAnswer;
@@ -52,6 +51,9 @@
 	 */
 	private static final int HEAD_TIMEOUT_MS = 10_000;
 
+	/** Connections that may wait to be accepted. */
+	private static final int BACKLOG = 1_024;
+
 	/** Largest head, in bytes. Source: four times the usual limit of operators. */
 	private static final int MAX_HEAD_BYTES = 64 * 1024;
 
@@ -81,9 +83,7 @@
 
 	private final RandomGenerator random;
 
-	private final AtomicInteger inHand = new AtomicInteger();
-
-	private volatile boolean draining;
+	private final RequestsInHand inHand;
 
 	private volatile boolean refusing;
 
@@ -106,23 +106,16 @@
 		this.clock = clock;
 		this.meters = meters;
 		this.random = random;
-		this.undertow = Undertow.builder()
-			.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
+		this.inHand = new RequestsInHand(meters);
+		this.undertow = CallerListener
+			.builder(address,
+					new CallerListener.Limits(MAX_HEAD_BYTES, MAX_BODY_BYTES, HEAD_TIMEOUT_MS, IDLE_CONNECTION_MS),
+					BACKLOG)
 			.setWorker(worker)
-			.setSocketOption(Options.BACKLOG, 1024)
-			.setSocketOption(Options.TCP_NODELAY, true)
-			.setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEAD_BYTES)
-			.setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
-			.setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MS)
-			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_CONNECTION_MS)
-			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
-			.setServerOption(UndertowOptions.DECODE_URL, false)
 			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
 			.setHandler(this::handle)
 			.build();
-		meters.gauge("anvilusher.requests.in.hand", this.inHand, AtomicInteger::get);
 	}
 
 	/**
@@ -133,15 +126,7 @@
 	}
 
 	private void handle(HttpServerExchange http) {
-		this.inHand.incrementAndGet();
-		http.addExchangeCompleteListener((ended, next) -> {
-			this.inHand.decrementAndGet();
-			next.proceed();
-		});
-		if (this.draining) {
-			http.setPersistent(false);
-			http.getResponseHeaders().put(Headers.CONNECTION, "close");
-		}
+		this.inHand.add(http);
 		http.dispatch(SameThreadExecutor.INSTANCE, () -> accept(http));
 	}
 
@@ -210,14 +195,14 @@
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void drain(long takeMs, long untilMs) throws InterruptedException {
-		this.draining = true;
+		this.inHand.startDraining();
 		long startMs = this.clock.nowMs();
 		TimeUnit.MILLISECONDS.sleep(takeMs);
 		this.refusing = true;
-		while (this.inHand.get() > 0 && this.clock.nowMs() - startMs < untilMs) {
+		while (this.inHand.count() > 0 && this.clock.nowMs() - startMs < untilMs) {
 			TimeUnit.MILLISECONDS.sleep(10);
 		}
-		LOGGER.info("Drained in {} ms with {} requests left", this.clock.nowMs() - startMs, this.inHand.get());
+		LOGGER.info("Drained in {} ms with {} requests left", this.clock.nowMs() - startMs, this.inHand.count());
 	}
 
 }
