Simplify what the reading of the change found

UsageDuty.read had two branches with the same ending; LapseGuard compared each lapsed server with all registered ones (17 million comparisons at 4,200 servers) and now looks addresses up; the gateway's status is written by Jackson like the entry's, so that names are escaped; RoleDuty logs a look that fails instead of dropping the failure; comments are wrapped.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/CallerWatch.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/CallerWatch.java
@@ -70,8 +70,7 @@
 				|| connection.getExtraBytes() != null) {
 			return;
 		}
-		// The conduit of the request's body ignores reads after the body's end, so the
-		// one
+		// The conduit of the request's body ignores reads after its end, so the one
 		// below it is read.
 		StreamSourceConduit source = connection.getOriginalSourceConduit();
 		connection.getChannel().getSourceChannel().setReadListener((channel) -> onReadable(connection, source));
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -248,9 +248,8 @@
 		this.listener.onFailure(this.sent, cause);
 	}
 
-	// Undertow closes a connection by waiting for the other side to close it as well,
-	// which
-	// a server at work does not do; without its conduits it is closed at once.
+	// Undertow closes a connection by waiting for the other side to close it as well.
+	// A server at work does not do so; without its conduits it is closed at once.
 	private static void abort(ClientConnection connection) {
 		try {
 			IoUtils.safeClose(connection.performUpgrade());
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -12,8 +12,10 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.LongSupplier;
-import java.util.stream.Collectors;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.OptionMap;
@@ -205,14 +207,18 @@
 	}
 
 	private String status() {
-		return "{\"process\":\"" + this.settings.process() + "\",\"ready\":" + isReady() + ",\"tableVersion\":"
-				+ this.routes.get().map((index) -> index.table().version()).orElse(-1L) + ",\"servers\":["
-				+ this.serversShown.stream()
-					.map((server) -> "{\"id\":\"" + server.id() + "\",\"service\":\"" + server.service()
-							+ "\",\"address\":\"" + server.address() + "\",\"draining\":" + server.draining()
-							+ ",\"role\":\"" + server.role().map(Enum::name).orElse("") + "\"}")
-					.collect(Collectors.joining(","))
-				+ "]}";
+		ObjectNode root = new ObjectMapper().createObjectNode()
+			.put("process", this.settings.process())
+			.put("ready", isReady())
+			.put("tableVersion", this.routes.get().map((index) -> index.table().version()).orElse(-1L));
+		ArrayNode servers = root.putArray("servers");
+		this.serversShown.forEach((server) -> servers.addObject()
+			.put("id", server.id())
+			.put("service", server.service())
+			.put("address", server.address())
+			.put("draining", server.draining())
+			.put("role", server.role().map(Enum::name).orElse("")));
+		return root.toString();
 	}
 
 	private boolean isReady() {
--- a/gateway/src/main/java/io/anvilusher/gateway/control/RoleDuty.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/RoleDuty.java
@@ -1,6 +1,5 @@
 package io.anvilusher.gateway.control;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -102,8 +101,12 @@
 			.stream()
 			.map((entry) -> look(entry.getKey(), entry.getValue()))
 			.toList();
-		CompletableFuture.allOf(services.toArray(CompletableFuture[]::new))
-			.whenComplete((ignored, failure) -> this.thread.run(() -> this.looking = false));
+		CompletableFuture.allOf(services.toArray(CompletableFuture[]::new)).whenComplete((ignored, failure) -> {
+			if (failure != null) {
+				LOGGER.error("A look at the engines failed", failure);
+			}
+			this.thread.run(() -> this.looking = false);
+		});
 	}
 
 	private CompletableFuture<Void> look(String service, List<RegisteredServer> engines) {
@@ -124,8 +127,9 @@
 		long nowMs = this.clock.nowMs();
 		Map<String, Observed> byId = seen.stream()
 			.collect(Collectors.toMap((observed) -> observed.engine().id(), (observed) -> observed));
-		List<EngineState> states = new ArrayList<>(seen.size());
-		seen.forEach((observed) -> states.add(observed.state(this.untouchedUntilMs, nowMs)));
+		List<EngineState> states = seen.stream()
+			.map((observed) -> observed.state(this.untouchedUntilMs, nowMs))
+			.toList();
 		List<RoleChange> changes = this.planners.computeIfAbsent(service, (name) -> new RolePlanner())
 			.plan(states, nowMs);
 		changes.forEach((change) -> order(byId.get(change.engineId()), change, engines));
--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageDuty.java
@@ -133,14 +133,12 @@
 					this.caughtUpAtMs = this.clock.nowMs();
 				}
 				read();
+				return;
 			}
-			else if (answer instanceof StoreLog.Read.Dropped dropped) {
+			if (answer instanceof StoreLog.Read.Dropped dropped) {
 				this.readOffset = dropped.firstOffset();
-				this.thread.after(RETRY_MS, this::read);
-			}
-			else {
-				this.thread.after(RETRY_MS, this::read);
 			}
+			this.thread.after(RETRY_MS, this::read);
 		}));
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -87,8 +87,7 @@
 		this.call = this.dispatcher.client().start(httpCall, this);
 	}
 
-	// A short prompt delays a long one by little, and a long one delays a short one by
-	// much.
+	// A short prompt delays a long one by little; a long one delays a short one by much.
 	private OptionalInt urgency(PromptShape prompt) {
 		return OptionalInt.of((prompt.promptTokens() < GatewayRequest.SHORT_PROMPT_TOKENS) ? 1 : 4);
 	}
--- a/logic/src/main/java/io/anvilusher/logic/fleet/LapseGuard.java
+++ b/logic/src/main/java/io/anvilusher/logic/fleet/LapseGuard.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.anvilusher.model.fleet.RegisteredServer;
 
@@ -62,12 +64,14 @@
 	public Map<String, RegisteredServer> inUse(Map<String, RegisteredServer> registered, long nowMs) {
 		Map<String, RegisteredServer> next = new HashMap<>(registered);
 		if (nowMs < this.holdUntilMs) {
+			Set<String> takenAddresses = registered.values()
+				.stream()
+				.map(RegisteredServer::address)
+				.collect(Collectors.toSet());
 			this.shown.values()
 				.stream()
 				.filter((server) -> !server.draining())
-				.filter((server) -> registered.values()
-					.stream()
-					.noneMatch((other) -> other.address().equals(server.address())))
+				.filter((server) -> !takenAddresses.contains(server.address()))
 				.forEach((server) -> next.putIfAbsent(server.id(), server));
 		}
 		this.shown = Map.copyOf(next);
