Count orders that engines have not shown yet, and keep a floor of decode engines

Cause: engines that had accepted an order still reported the decode role, so each poll before the first load ordered further ones, until no engine of the service could generate; nothing brought one back, because the load that the planner watches is that of decode engines. Change: PendingOrders holds orders that reports do not show; engines under such an order are not sure to decode. A third of the engines and one of each data centre keep the role; below that, engines return whatever the load.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/RoleController.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/RoleController.java
@@ -16,8 +16,10 @@
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.control.EngineControlClient.EngineReport;
 import io.anvilusher.logic.role.EngineState;
+import io.anvilusher.logic.role.PendingOrders;
 import io.anvilusher.logic.role.RoleChange;
 import io.anvilusher.logic.role.RolePlanner;
+import io.anvilusher.model.fleet.EngineRole;
 import io.anvilusher.model.fleet.RegisteredServer;
 
 /**
@@ -32,10 +34,9 @@
 	private static final long POLL_INTERVAL_MS = 1_500;
 
 	/**
-	 * Time for which an engine gets no further order after one that was refused or whose
-	 * outcome is unknown; an order that arrives late is carried out within seconds.
+	 * Time for which an engine that refused an order gets no further one; a few polls.
 	 */
-	private static final long ORDER_HOLD_MS = 10_000;
+	private static final long REFUSED_HOLD_MS = 10_000;
 
 	private final DutyMembership membership;
 
@@ -53,6 +54,8 @@
 
 	private final Map<String, Long> onHoldUntilMs = new HashMap<>();
 
+	private final PendingOrders pendingOrders = new PendingOrders();
+
 	private Map<String, RolePlanner> planners = new HashMap<>();
 
 	private boolean polling;
@@ -128,16 +131,26 @@
 		long nowMs = this.clock.nowMs();
 		Map<String, ObservedEngine> byId = observedEngines.stream()
 			.collect(Collectors.toMap((observed) -> observed.engine().id(), (observed) -> observed));
-		List<EngineState> states = observedEngines.stream()
-			.map((observed) -> observed.state(this.onHoldUntilMs, nowMs))
-			.toList();
+		this.onHoldUntilMs.values().removeIf((untilMs) -> untilMs < nowMs);
+		List<EngineState> states = observedEngines.stream().map((observed) -> state(observed, nowMs)).toList();
 		List<RoleChange> changes = this.planners.computeIfAbsent(service, (name) -> new RolePlanner())
 			.plan(states, nowMs);
 		changes.forEach((change) -> order(byId.get(change.engineId()), change, engines));
 	}
 
+	private EngineState state(ObservedEngine observed, long nowMs) {
+		RegisteredServer engine = observed.engine();
+		EngineReport report = observed.report();
+		Optional<EngineRole> pendingRole = this.pendingOrders.onReport(engine.id(), report.role(), report.changing(),
+				nowMs);
+		boolean changing = report.changing() || pendingRole.isPresent() || this.onHoldUntilMs.containsKey(engine.id());
+		return new EngineState(engine.id(), engine.dataCentre(), report.role(), pendingRole, engine.slots(),
+				report.requests(), changing, report.ordersAccepted() > 0);
+	}
+
 	private void order(ObservedEngine target, RoleChange change, int engines) {
 		long fencingToken = this.membership.beginAction();
+		this.pendingOrders.onSent(target.engine().id(), change.role(), this.clock.nowMs());
 		this.client.changeRole(target.engine(), change.role(),
 				new EngineControlClient.OrderIssuer(this.holderName, fencingToken), target.report().ordersAccepted())
 			.thenAccept((outcome) -> this.thread.run(() -> onOutcome(target, change, fencingToken, engines, outcome)));
@@ -158,20 +171,17 @@
 		if (outcome == EngineControlClient.Outcome.FENCED) {
 			this.membership.onFenced(fencingToken);
 		}
-		if (outcome == EngineControlClient.Outcome.UNKNOWN || outcome == EngineControlClient.Outcome.REFUSED) {
-			this.onHoldUntilMs.put(target.engine().id(), this.clock.nowMs() + ORDER_HOLD_MS);
+		if (outcome == EngineControlClient.Outcome.REFUSED || outcome == EngineControlClient.Outcome.CONFLICT
+				|| outcome == EngineControlClient.Outcome.FENCED) {
+			this.pendingOrders.onRejected(target.engine().id());
+		}
+		if (outcome == EngineControlClient.Outcome.REFUSED) {
+			this.onHoldUntilMs.put(target.engine().id(), this.clock.nowMs() + REFUSED_HOLD_MS);
 		}
-		this.onHoldUntilMs.values().removeIf((untilMs) -> untilMs < this.clock.nowMs());
 	}
 
 	private record ObservedEngine(RegisteredServer engine, EngineReport report) {
 
-		EngineState state(Map<String, Long> onHoldUntilMs, long nowMs) {
-			boolean onHold = onHoldUntilMs.getOrDefault(this.engine.id(), Long.MIN_VALUE) > nowMs;
-			return new EngineState(this.engine.id(), this.engine.dataCentre(), this.report.role(), this.engine.slots(),
-					this.report.requests(), this.report.changing() || onHold, this.report.ordersAccepted() > 0);
-		}
-
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
+++ b/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -16,7 +17,13 @@
  * speed, suffices for the requests with long responses. An engine is unavailable for
  * seconds while it changes its role, so decode engines become prefill engines only before
  * the first load. If decode slots get scarce later, engines that were changed by an order
- * return to the decode role, one at a time. Confined to one thread.
+ * return to the decode role, one at a time.
+ * <p>
+ * An order may be carried out late, or its result may not be reported yet. Engines that
+ * might still leave the decode role therefore do not count as decode engines. No order
+ * takes the last sure decode engine of a data centre, or lets the service fall below
+ * {@link #MIN_DECODE_SHARE}; if crashes or late orders do, engines return to the decode
+ * role whatever the load. Confined to one thread.
  */
 public final class RolePlanner {
 
@@ -26,6 +33,12 @@
 	 */
 	static final int INITIAL_SLOTS_PER_ENGINE = 9;
 
+	/**
+	 * Smallest share of the engines of a service that have the decode role. No request
+	 * can be served without one, and each of them may crash.
+	 */
+	static final double MIN_DECODE_SHARE = 1.0 / 3;
+
 	/**
 	 * More decode engines are needed if the peak load exceeds this share of their slots.
 	 * It is the share up to which short prompts fill an engine before the next one is
@@ -60,7 +73,11 @@
 	 */
 	public List<RoleChange> plan(List<EngineState> engines, long nowMs) {
 		observe(engines, nowMs);
-		int decode = (int) decodeEngines(engines).count();
+		int decode = (int) engines.stream().filter(EngineState::isSureToDecode).count();
+		int floor = minDecodeEngines(engines);
+		if (decode < floor) {
+			return selectChanges(engines, EngineRole.DECODE, floor - decode - changingTo(engines, EngineRole.DECODE));
+		}
 		if (this.loadSeen) {
 			int missing = decodeEnginesUnderLoad(engines) - decode;
 			return selectChanges(engines.stream().filter(EngineState::changedByOrder).toList(), EngineRole.DECODE,
@@ -70,8 +87,9 @@
 			return List.of();
 		}
 		int maxChanging = (int) Math.ceil(MAX_INITIAL_CHANGE_SHARE * engines.size());
-		int spare = decode - Math.max(decodeEnginesBeforeLoad(engines), dataCentreCount(engines));
-		return selectChanges(engines, EngineRole.PREFILL, Math.min(spare, maxChanging - changing(engines)));
+		int spare = decode - Math.max(decodeEnginesBeforeLoad(engines), floor);
+		return selectChanges(spareDecodeEngines(engines), EngineRole.PREFILL,
+				Math.min(spare, maxChanging - changing(engines)));
 	}
 
 	private void observe(List<EngineState> engines, long nowMs) {
@@ -92,8 +110,24 @@
 		return (int) engines.stream().filter(EngineState::changing).count();
 	}
 
-	private static int dataCentreCount(List<EngineState> engines) {
-		return (int) engines.stream().map(EngineState::dataCentre).distinct().count();
+	private static int changingTo(List<EngineState> engines, EngineRole role) {
+		return (int) engines.stream().filter((engine) -> engine.pendingRole().equals(Optional.of(role))).count();
+	}
+
+	private static int minDecodeEngines(List<EngineState> engines) {
+		return (int) Math.ceil(MIN_DECODE_SHARE * engines.size());
+	}
+
+	// All sure decode engines but one of each data centre.
+	private static List<EngineState> spareDecodeEngines(List<EngineState> engines) {
+		return engines.stream()
+			.filter(EngineState::isSureToDecode)
+			.sorted(Comparator.comparingInt(EngineState::requests).thenComparing(EngineState::id))
+			.collect(Collectors.groupingBy(EngineState::dataCentre))
+			.values()
+			.stream()
+			.flatMap((sameDataCentre) -> sameDataCentre.subList(0, sameDataCentre.size() - 1).stream())
+			.toList();
 	}
 
 	private static double meanSlots(List<EngineState> engines) {
--- a/logic/src/test/java/io/anvilusher/logic/role/RolePlannerTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/role/RolePlannerTests.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.anvilusher.model.fleet.EngineRole;
@@ -26,8 +29,8 @@
 	}
 
 	private static EngineState engine(String id, EngineRole role, int slots, int requests, boolean changedByOrder) {
-		return new EngineState(id, "dc" + Integer.parseInt(id.substring(1)) % 3, role, slots, requests, false,
-				changedByOrder);
+		return new EngineState(id, "dc" + Integer.parseInt(id.substring(1)) % 3, role, Optional.empty(), slots,
+				requests, false, changedByOrder);
 	}
 
 	@Test
@@ -85,7 +88,8 @@
 	@Test
 	public void enginesReturnToDecodeOneAtATime() {
 		List<EngineState> engines = new ArrayList<>(fleet(3, 4, 16, 15));
-		engines.add(new EngineState("p3", "dc0", EngineRole.PREFILL, 16, 0, true, true));
+		engines
+			.add(new EngineState("p3", "dc0", EngineRole.PREFILL, Optional.of(EngineRole.DECODE), 16, 0, true, true));
 		engines.add(engine("p4", EngineRole.PREFILL, 16, 0, true));
 		assertEquals(new RolePlanner().plan(engines, 0), List.of());
 	}
@@ -99,4 +103,36 @@
 		assertEquals(new RolePlanner().plan(fleet(8, 4, 16, 16), 0), List.of());
 	}
 
+	@DataProvider
+	public Object[][] seeds() {
+		return LongStream.range(0, 60).mapToObj((seed) -> new Object[] { seed }).toArray(Object[][]::new);
+	}
+
+	/**
+	 * Guards against an outage in which all engines were ordered to the prefill role,
+	 * because engines that had accepted an order still reported the decode role.
+	 */
+	@Test
+	public void engineWithAPendingOrderDoesNotCountAsDecodeEngine() {
+		RoleReplay replay = new RoleReplay(1, 3, 5, 64, RoleReplay.Faults.NONE);
+		replay.run(20_000);
+		assertEquals(replay.lowestDecodeCount(), 3);
+		assertEquals(replay.decodeCount(), 3);
+	}
+
+	@Test(dataProvider = "seeds")
+	public void ordersNeverLeaveTooFewDecodeEngines(long seed) {
+		RoleReplay replay = new RoleReplay(seed, 4, 9, 64, RoleReplay.Faults.LOST_ANSWERS_AND_LATE_ORDERS);
+		replay.run(60_000);
+		assertTrue(replay.lowestDecodeCount() >= 5, "lowest decode count " + replay.lowestDecodeCount());
+		assertEquals(replay.dataCentresWithoutDecode(), 0);
+	}
+
+	@Test(dataProvider = "seeds")
+	public void fleetRecoversWithoutLoadFromAnyState(long seed) {
+		RoleReplay replay = new RoleReplay(seed, 13, 0, 64, RoleReplay.Faults.LOST_ANSWERS_AND_LATE_ORDERS);
+		replay.run(60_000);
+		assertTrue(replay.decodeCount() >= 5, "decode count " + replay.decodeCount());
+	}
+
 }
