Fill engines with short prompts as far as pauses and prompt windows allow

Cause: short prompts filled three quarters of an engine's slots before the next engine was used. With 64 slots and prompts of 1,100 tokens, one engine then ran up to 48 requests, its steps took 70 ms, and streams of 46 tokens took 2 to 4 s, beyond the longest pause and often beyond the caller's patience. Change: GenerationLimit adapts the number of requests of an engine to the pauses between events, and the prompt window applies to short prompts too.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -85,6 +85,8 @@
 
 	private long firstResultMs = -1;
 
+	private long lastEventAtMs;
+
 	GatewayRequest(Dispatcher dispatcher, RequestInput input) {
 		this.dispatcher = dispatcher;
 		this.input = input;
@@ -344,10 +346,15 @@
 		if (completeEvents.length == 0) {
 			return;
 		}
+		long nowMs = this.dispatcher.nowMs();
 		if (first) {
-			this.firstResultMs = this.dispatcher.nowMs() - this.input.arrivedAtMs();
+			this.firstResultMs = nowMs - this.input.arrivedAtMs();
 			attempt.onFirstResult();
 		}
+		else {
+			attempt.onPause(nowMs - this.lastEventAtMs);
+		}
+		this.lastEventAtMs = nowMs;
 		if (!this.streamStarted && this.streamHead != null) {
 			this.streamStarted = true;
 			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -15,6 +15,7 @@
 import io.anvilusher.gateway.wire.ForwardingInfo;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
+import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.HttpHeader;
@@ -258,6 +259,18 @@
 		this.dispatcher.onCapacityFreed(this.request.input().service());
 	}
 
+	/**
+	 * Records a pause between two events of the stream.
+	 * @param pauseMs duration of the pause
+	 */
+	void onPause(long pauseMs) {
+		long nowMs = this.dispatcher.nowMs();
+		int slots = this.trackedServer.server().slots();
+		this.trackedServer.generationLimit()
+			.onPause(pauseMs, this.request.input().route().pauseTargetMs(),
+					this.trackedServer.occupancy(nowMs, EnginePlacer.MAX_RUNNING_AGE_MS), slots, nowMs);
+	}
+
 	@Override
 	public void onData(ByteBuffer data) {
 		if (this.ignored) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -53,13 +53,7 @@
 	 * Reported numbers of running requests are ignored when they are older than this: the
 	 * duration of a long response.
 	 */
-	static final long MAX_RUNNING_AGE_MS = 8_000;
-
-	/**
-	 * Short prompts fill this share of the slots of an engine before the next engine is
-	 * used.
-	 */
-	static final double PACKING_SHARE = 0.75;
+	public static final long MAX_RUNNING_AGE_MS = 8_000;
 
 	/** Number of engines to spread short prompts over while load reports are old. */
 	static final int SPREAD_ENGINE_COUNT = 3;
@@ -187,7 +181,8 @@
 			.orElseThrow();
 	}
 
-	// All gateways fill the first engine with spare capacity. If its load report is old,
+	// All gateways fill the first engine that has spare capacity for prompts and streams.
+	// If its load report is old,
 	// other gateways may have filled it meanwhile, so the request goes to a
 	// pseudo-random one of the first few engines with spare capacity.
 	private static TrackedServer placeShortPrompt(PromptShape prompt, List<TrackedServer> decodeEngines, long targetMs,
@@ -195,8 +190,9 @@
 		List<TrackedServer> withCapacity = Rendezvous
 			.sortByRank(decodeEngines, (engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1))
 			.stream()
-			.filter((engine) -> !engine.window().isStalled(targetMs, nowMs))
-			.filter((engine) -> engine.occupancy(nowMs, MAX_RUNNING_AGE_MS) < PACKING_SHARE * engine.server().slots())
+			.filter((engine) -> engine.window().fits(engine.uncachedTokens(prompt), targetMs, nowMs))
+			.filter((engine) -> engine.generationLimit()
+				.allows(engine.occupancy(nowMs, MAX_RUNNING_AGE_MS), engine.server().slots()))
 			.limit(SPREAD_ENGINE_COUNT)
 			.toList();
 		if (withCapacity.isEmpty()) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -27,6 +27,8 @@
 
 	private final PromptWindow window = new PromptWindow();
 
+	private final GenerationLimit generationLimit = new GenerationLimit();
+
 	private int inFlight;
 
 	private int reportedRunning;
@@ -86,6 +88,14 @@
 		return this.window;
 	}
 
+	/**
+	 * Returns the limit of requests that the server may run.
+	 * @return the limit, adapted to the pauses between the events of streams
+	 */
+	public GenerationLimit generationLimit() {
+		return this.generationLimit;
+	}
+
 	/**
 	 * Records that a request is being sent to the server.
 	 * @param nowMs current time of the monotonic clock
--- a/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
@@ -43,4 +43,15 @@
 		assertTrue(result.inTarget() > 2 * result.late(), result.toString());
 	}
 
+	/**
+	 * Prompts of medium size with short responses on engines with many slots: the prefill
+	 * of one prompt after another delays all streams of an engine that is filled by its
+	 * slots alone.
+	 */
+	@Test(dataProvider = "seeds")
+	public void pausesOfStreamsStayInTargetOnEnginesWithManySlots(long seed) {
+		GenerationReplay result = new GenerationReplay(seed, 6).simulate(LENGTH_MS, 0.025);
+		assertTrue(result.shareOfPausesInTarget() > 0.9, "share in target " + result.shareOfPausesInTarget());
+	}
+
 }
--- a/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
@@ -17,7 +17,7 @@
 public class RouteIndexTests {
 
 	private static Route route(String name, String host, String prefix) {
-		return new Route(name, host, prefix, RouteKind.IDEMPOTENT, 1_000, 100, 0,
+		return new Route(name, host, prefix, RouteKind.IDEMPOTENT, 1_000, 100, 100, 0,
 				List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 1, false, false, false);
 	}
 
--- a/model/src/main/java/io/anvilusher/model/routing/Route.java
+++ b/model/src/main/java/io/anvilusher/model/routing/Route.java
@@ -13,6 +13,8 @@
  * @param timeoutMs time after the arrival of a request at which it times out, in ms
  * @param targetMs latency target, in ms: up to the complete response, or up to the first
  * event of a stream
+ * @param pauseTargetMs longest pause between two events of a stream that is still on
+ * time, in ms
  * @param priority priority class of the requests; 0 is the most urgent
  * @param split the services that share the route
  * @param maxAttempts largest number of servers that one request may be sent to
@@ -21,8 +23,8 @@
  * @param resumable whether another server may resume an interrupted stream
  */
 public record Route(String name, String host, String pathPrefix, RouteKind kind, long timeoutMs, long targetMs,
-		int priority, List<WeightedService> split, int maxAttempts, boolean allowsAnonymous, boolean carriesPrompt,
-		boolean resumable) {
+		long pauseTargetMs, int priority, List<WeightedService> split, int maxAttempts, boolean allowsAnonymous,
+		boolean carriesPrompt, boolean resumable) {
 
 	public Route {
 		split = List.copyOf(split);
