End responses that send a head, framing or an event without end

Cause: Undertow's client reads a head for as long as bytes arrive and keeps them in memory, so such a server stopped the traffic thread (200 MB were read before a timer ran) and could fill the heap; an event over 1 MiB threw an exception that nobody caught, and its request waited for its timeout; the rest of an ignored response and buffered responses had no limit. The line that ends a request has the number of events and the longest pause.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
@@ -13,6 +13,9 @@
  */
 public final class BufferingHttpClient {
 
+	/** Largest response body: several times the largest page of a store's table. */
+	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
 	private final StreamingHttpClient client;
 
 	/**
@@ -33,6 +36,7 @@
 	public CompletableFuture<HttpCallResponse> call(HttpCall call, long timeoutMs) {
 		ResponseCollector collector = new ResponseCollector();
 		RunningCall running = this.client.start(call, collector);
+		collector.tooLong.thenRun(running::cancel);
 		Runnable cancelTimeout = this.client.after(timeoutMs, () -> {
 			if (!collector.response.isDone()) {
 				collector.response.completeExceptionally(new IOException("No response within " + timeoutMs + " ms"));
@@ -47,6 +51,8 @@
 
 		private final CompletableFuture<HttpCallResponse> response = new CompletableFuture<>();
 
+		private final CompletableFuture<Void> tooLong = new CompletableFuture<>();
+
 		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 		private int status;
@@ -61,6 +67,11 @@
 
 		@Override
 		public void onData(ByteBuffer data) {
+			if (this.body.size() + data.remaining() > MAX_BODY_BYTES) {
+				this.response.completeExceptionally(new IOException("Response exceeds " + MAX_BODY_BYTES + " bytes"));
+				this.tooLong.complete(null);
+				return;
+			}
 			byte[] bytes = new byte[data.remaining()];
 			data.get(bytes);
 			this.body.writeBytes(bytes);
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -40,6 +40,17 @@
 	 */
 	private static final double KEEP_ALIVE_REUSE_FRACTION = 0.8;
 
+	/**
+	 * Most bytes of a response that may belong to its head or to the framing of its body:
+	 * several times the largest head that servers send.
+	 */
+	private static final long MAX_OVERHEAD_BYTES = 256 * 1024;
+
+	/**
+	 * Most bytes of framing for each byte of the body; a chunk of one byte has five.
+	 */
+	private static final long MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
+
 	private final StreamingHttpClient client;
 
 	private final HttpCall call;
@@ -64,6 +75,10 @@
 
 	private boolean cancelled;
 
+	private long bytesReadBefore;
+
+	private long bodyBytes;
+
 	ClientCall(StreamingHttpClient client, HttpCall call, HttpCallListener listener, XnioIoThread thread) {
 		this.client = client;
 		this.call = call;
@@ -83,6 +98,8 @@
 			return;
 		}
 		this.requestSent = true;
+		this.bytesReadBefore = opened.getStatistics().getRead();
+		this.client.onStarted(this);
 		this.listener.onSending();
 		opened.sendRequest(request(), new ClientCallback<>() {
 
@@ -216,6 +233,7 @@
 					return;
 				}
 				buffer.flip();
+				this.bodyBytes += count;
 				this.listener.onData(buffer);
 			}
 			source.suspendReads();
@@ -230,6 +248,7 @@
 			return;
 		}
 		this.ended = true;
+		this.client.onEnded(this);
 		if (this.connection != null && this.requestBodyWritten) {
 			this.client.returnToPool(this.call.target(), this.connection, this.keepAliveMs);
 		}
@@ -246,6 +265,7 @@
 			return;
 		}
 		this.ended = true;
+		this.client.onEnded(this);
 		if (this.connection != null) {
 			closeImmediately(this.connection);
 		}
@@ -265,6 +285,24 @@
 		IoUtils.safeClose(connection);
 	}
 
+	/**
+	 * Fails the call if the server sends a head, or framing of a body, without end. The
+	 * client's parser keeps such bytes in memory and reports nothing until they end.
+	 */
+	void checkOverhead() {
+		runOnIoThread(() -> {
+			if (this.connection == null || this.ended) {
+				return;
+			}
+			long overheadBytes = this.connection.getStatistics().getRead() - this.bytesReadBefore - this.bodyBytes;
+			if (overheadBytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * this.bodyBytes) {
+				LOGGER.warn("{} sent {} bytes of response head and framing; the connection is closed",
+						this.call.target(), overheadBytes);
+				fail(new IOException("Response head or framing exceeds " + MAX_OVERHEAD_BYTES + " bytes"));
+			}
+		});
+	}
+
 	/**
 	 * Fails the call if its connection has not been opened yet.
 	 * @param timeoutMs time for which the call has waited, in ms
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -4,9 +4,11 @@
 import java.net.URI;
 import java.util.Deque;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
@@ -49,8 +51,17 @@
 	/** Allows for several round trips between data centres. */
 	private static final long CONNECT_TIMEOUT_MS = 700;
 
+	/** Interval of the checks of calls in progress for heads without end. */
+	private static final long OVERHEAD_CHECK_INTERVAL_MS = 50;
+
 	private final Map<URI, Deque<IdleConnection>> idleConnections = new ConcurrentHashMap<>();
 
+	private final Map<XnioIoThread, YieldingIoThread> connectThreads = new ConcurrentHashMap<>();
+
+	private final Set<ClientCall> runningCalls = ConcurrentHashMap.newKeySet();
+
+	private final AtomicBoolean checkScheduled = new AtomicBoolean();
+
 	private StreamingHttpClient(XnioWorker worker) {
 		this.worker = worker;
 	}
@@ -139,8 +150,33 @@
 				thread.execute(() -> running.fail(ex));
 			}
 
-		}, call.target(), thread, this.buffers,
-				OptionMap.builder().set(Options.TCP_NODELAY, true).set(UndertowOptions.ENABLE_HTTP2, false).getMap());
+		}, call.target(), this.connectThreads.computeIfAbsent(thread, YieldingIoThread::new), this.buffers,
+				OptionMap.builder()
+					.set(Options.TCP_NODELAY, true)
+					.set(UndertowOptions.ENABLE_HTTP2, false)
+					.set(UndertowOptions.ENABLE_STATISTICS, true)
+					.getMap());
+	}
+
+	void onStarted(ClientCall call) {
+		this.runningCalls.add(call);
+		scheduleCheck();
+	}
+
+	void onEnded(ClientCall call) {
+		this.runningCalls.remove(call);
+	}
+
+	private void scheduleCheck() {
+		if (this.checkScheduled.compareAndSet(false, true)) {
+			after(OVERHEAD_CHECK_INTERVAL_MS, () -> {
+				this.checkScheduled.set(false);
+				this.runningCalls.forEach(ClientCall::checkOverhead);
+				if (!this.runningCalls.isEmpty()) {
+					scheduleCheck();
+				}
+			});
+		}
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -87,6 +87,8 @@
 
 	private long lastEventAtMs;
 
+	private long longestPauseMs;
+
 	GatewayRequest(Dispatcher dispatcher, RequestInput input) {
 		this.dispatcher = dispatcher;
 		this.input = input;
@@ -341,6 +343,10 @@
 		if (this.done) {
 			return;
 		}
+		if (!this.eventSplitter.accepts(data)) {
+			attempt.failBroken();
+			return;
+		}
 		boolean first = this.eventSplitter.events() == 0;
 		byte[] completeEvents = this.eventSplitter.add(data);
 		if (completeEvents.length == 0) {
@@ -352,6 +358,7 @@
 			attempt.onFirstResult();
 		}
 		else {
+			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventAtMs);
 			attempt.onPause(nowMs - this.lastEventAtMs);
 		}
 		this.lastEventAtMs = nowMs;
@@ -428,6 +435,8 @@
 			.addKeyValue("sends", this.sends)
 			.addKeyValue("status", status)
 			.addKeyValue("first_result_ms", this.firstResultMs)
+			.addKeyValue("events", this.eventSplitter.events())
+			.addKeyValue("longest_pause_ms", this.longestPauseMs)
 			.addKeyValue("total_ms", nowMs - this.input.arrivedAtMs())
 			.addKeyValue("outcome", outcome)
 			.log("Request ended");
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -34,6 +34,11 @@
 	/** Largest response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
+	/**
+	 * Most bytes of an ignored response that are read for the sake of the connection.
+	 */
+	private static final int MAX_SKIPPED_BYTES = 64 * 1024;
+
 	private final Dispatcher dispatcher;
 
 	private final GatewayRequest request;
@@ -64,6 +69,8 @@
 
 	private boolean runCounted;
 
+	private long skippedBytes;
+
 	ServerAttempt(Dispatcher dispatcher, GatewayRequest request, TrackedServer trackedServer, int uncachedTokens,
 			KvStep step, @Nullable ServerAttempt prefill) {
 		this.prefill = prefill;
@@ -205,13 +212,27 @@
 		this.request.onNotRun(this, misdirected ? AttemptFailure.SERVER_UNREACHABLE : AttemptFailure.SERVER_FULL, true);
 	}
 
-	// Ignores the rest of the response. It is still read, so that the connection can be
-	// reused.
+	private void skip(int bytes) {
+		this.skippedBytes += bytes;
+		if (this.skippedBytes > MAX_SKIPPED_BYTES && this.call != null) {
+			this.call.cancel();
+		}
+	}
+
+	// Ignores the rest of the response. Unless it is long, it is still read, so that the
+	// connection can be reused.
 	private void ignoreRest() {
 		this.ignored = true;
 		end();
 	}
 
+	/**
+	 * Fails the attempt because the server's response is not valid.
+	 */
+	void failBroken() {
+		fail(AttemptFailure.FRAMES_BROKEN, true);
+	}
+
 	private void fail(AttemptFailure failure, boolean broken) {
 		cancel();
 		if (broken) {
@@ -274,6 +295,7 @@
 	@Override
 	public void onData(ByteBuffer data) {
 		if (this.ignored) {
+			skip(data.remaining());
 			return;
 		}
 		this.trackedServer.health().onDataReceived(this.dispatcher.nowMs());
--- a/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
+++ b/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
@@ -26,16 +26,25 @@
 
 	private int eventCount;
 
+	/**
+	 * Returns whether data can be added without exceeding the maximum size of an event.
+	 * @param data the next bytes of the stream
+	 * @return false if the data and the incomplete event before it are larger than 1 MiB;
+	 * the stream is then broken
+	 */
+	public boolean accepts(ByteBuffer data) {
+		return this.bufferedBytes + data.remaining() <= MAX_EVENT_BYTES;
+	}
+
 	/**
 	 * Adds data from the stream.
 	 * @param data the next bytes of the stream
 	 * @return all events that are complete now; empty if none is
-	 * @throws IllegalStateException if the data and the incomplete event before it are
-	 * larger than 1 MiB
+	 * @throws IllegalStateException if the data is not {@linkplain #accepts accepted}
 	 */
 	public byte[] add(ByteBuffer data) {
 		int added = data.remaining();
-		if (this.bufferedBytes + added > MAX_EVENT_BYTES) {
+		if (!accepts(data)) {
 			throw new IllegalStateException("server-sent event exceeds the limit of " + MAX_EVENT_BYTES + " bytes");
 		}
 		if (this.bufferedBytes + added > this.buffer.length) {
