Place short prompts on reserved engines, by fresh load reports

Cause: on the large fleet a long answer holds one of an engine's six slots for 2 to 9 s. 33 gateways each see one such request in six seconds and get few load reports, so answers waited behind full engines (first event p50 0.7 s on the first engine in the shared order), and long prompts that other gateways sent to the same engine made their pauses longer than 100 ms. Change: ReservedEngines keeps the first engines of the shared order free of long prompts; their number follows the load that reports show. Before a short prompt is placed, up to three of them without a fresh report are asked for one, for at most 0.15 of the target. KV caches are fetched by engines that are not reserved where the data centre has one. Also: windows of usage are sealed without missing counts only after 0.85 of the time to report (a gateway cut off for 8 s was left out at 0.65), and the table of servers is read each 0.35 of the time to drain (calls to the store).

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -57,7 +57,7 @@
 	 * Delay between two reads of the server table, as a fraction of the time after which
 	 * a draining server must get no new requests.
 	 */
-	private static final double SERVERS_DELAY_SHARE = 0.25;
+	private static final double SERVERS_DELAY_SHARE = 0.35;
 
 	/**
 	 * Longest time that a read waits for a change, as a fraction of the time within which
@@ -161,8 +161,8 @@
 		this.roleController = new RoleController(this.dutyMembership, settings.process(), this.adapter.engineControl(),
 				() -> this.serversInUse, this.context);
 		Dispatcher dispatcher = new Dispatcher(
-				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, this.meters, runCounter,
-						this.clock, thread, random),
+				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
+						this.adapter.engineControl(), this.meters, runCounter, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
 				dispatcher, this.routes::get, this.clock, this.meters, random);
--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageReporter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageReporter.java
@@ -42,7 +42,7 @@
 	 * missing. It leaves time for a process that is temporarily cut off from the store;
 	 * the remaining time is needed for the report.
 	 */
-	private static final double FORCED_SEAL_SHARE = 0.65;
+	private static final double FORCED_SEAL_SHARE = 0.85;
 
 	/** Longest time that one read of the log waits for a record. */
 	private static final long READ_WAIT_MS = 1_200;
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 
@@ -16,6 +17,7 @@
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.wire.WireFormat;
@@ -46,6 +48,12 @@
 	 */
 	private static final long[] LATENCY_BUCKETS_MS = { 10, 25, 50, 100, 150, 200, 400, 800, 2_000, 5_000, 15_000 };
 
+	/**
+	 * Share of the target latency that a request waits for load reports of engines. An
+	 * engine that does not respond in this time is not used if others do.
+	 */
+	private static final double MAX_PROBE_TIME_SHARE = 0.15;
+
 	private final Map<String, Timer> totalTimers = new HashMap<>();
 
 	private final Map<String, Timer> firstResultTimers = new HashMap<>();
@@ -56,6 +64,8 @@
 
 	private final StreamingHttpClient client;
 
+	private final EngineControlClient engineControl;
+
 	private final Meters meters;
 
 	private final RunCounter runs;
@@ -86,6 +96,7 @@
 		this.serverRegistry = dependencies.serverRegistry();
 		this.format = dependencies.format();
 		this.client = dependencies.client();
+		this.engineControl = dependencies.engineControl();
 		this.meters = dependencies.meters();
 		this.runs = dependencies.runs();
 		this.clock = dependencies.clock();
@@ -121,6 +132,43 @@
 				excludedServers, request.input().route().targetMs(), nowMs());
 	}
 
+	List<TrackedServer> enginesToProbe(GatewayRequest request, Set<String> excludedServers) {
+		return request.input()
+			.head()
+			.prompt()
+			.filter((prompt) -> request.input().route().carriesPrompt())
+			.map((prompt) -> this.enginePlacer.enginesToProbe(prompt,
+					this.serverRegistry.servers(request.input().service()), excludedServers, nowMs()))
+			.orElseGet(List::of);
+	}
+
+	/**
+	 * Asks engines for load reports, and runs a task once all have responded or the time
+	 * for it is over.
+	 * @param engines the engines
+	 * @param targetMs target latency of the request that waits for the reports
+	 * @param then the task
+	 */
+	void probe(List<TrackedServer> engines, long targetMs, Runnable then) {
+		List<CompletableFuture<Void>> reports = engines.stream().map(this::probe).toList();
+		CompletableFuture<Void> probed = CompletableFuture.allOf(reports.toArray(CompletableFuture[]::new));
+		Runnable cancelTimeout = schedule((long) (MAX_PROBE_TIME_SHARE * targetMs), () -> probed.complete(null));
+		probed.whenComplete((ignored, failure) -> {
+			cancelTimeout.run();
+			this.thread.execute(logFailure(then));
+		});
+	}
+
+	private CompletableFuture<Void> probe(TrackedServer engine) {
+		return this.engineControl.report(engine.server()).thenAccept((report) -> {
+			String outcome = report.isPresent() ? "report" : "none";
+			this.meters.counter("anvilusher.engine.probes", "outcome", outcome).increment();
+			int slots = engine.server().slots();
+			report.ifPresent((present) -> engine.onLoadReport(Math.min(slots, present.requests()),
+					Math.max(0, present.requests() - slots), nowMs()));
+		});
+	}
+
 	boolean enqueue(GatewayRequest request) {
 		boolean queued = serviceState(request.input().service()).queue()
 			.offer(request, request.input().route().targetMs(), nowMs());
@@ -217,6 +265,7 @@
 	 * @param serverRegistry the servers that take new requests
 	 * @param format header and body formats of the deployment
 	 * @param client sends requests to servers, on the traffic thread
+	 * @param engineControl asks engines for load reports, on the traffic thread
 	 * @param meters the metrics of this process
 	 * @param runs counts the requests that servers have run, for the usage reports
 	 * @param clock the monotonic clock
@@ -224,7 +273,8 @@
 	 * @param random spreads the Retry-After delays
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
-			Meters meters, RunCounter runs, MonotonicClock clock, XnioIoThread thread, RandomGenerator random) {
+			EngineControlClient engineControl, Meters meters, RunCounter runs, MonotonicClock clock,
+			XnioIoThread thread, RandomGenerator random) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -107,6 +108,15 @@
 	}
 
 	private void placeOrEnqueue() {
+		List<TrackedServer> engines = this.dispatcher.enginesToProbe(this, this.excludedServers);
+		if (engines.isEmpty()) {
+			placeOrEnqueueNow();
+			return;
+		}
+		this.dispatcher.probe(engines, this.input.route().targetMs(), this::placeOrEnqueueNow);
+	}
+
+	private void placeOrEnqueueNow() {
 		if (!tryPlace() && !this.dispatcher.enqueue(this)) {
 			refuseSaturated();
 		}
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -1,7 +1,9 @@
 package io.anvilusher.logic.placement;
 
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -21,7 +23,10 @@
  * of that engine is full, the next engine in the order of the part is used. Engines with
  * the prefill role are homes more often, since they prefill faster; a decode engine then
  * fetches the KV cache. Short prompts fill the decode engines in an order that is the
- * same on all gateways, and long prompts avoid the engines that serve short ones.
+ * same on all gateways, and long prompts avoid the engines that serve short ones. The
+ * first engines in that order are kept free of long prompts even while they are idle:
+ * each gateway sees few of the short prompts, but two long prompts at once are enough to
+ * make a stream's pause too long.
  */
 public final class EnginePlacer {
 
@@ -55,14 +60,7 @@
 	 */
 	public static final long MAX_RUNNING_AGE_MS = 8_000;
 
-	/** Number of engines to spread short prompts over while load reports are old. */
-	static final int SPREAD_ENGINE_COUNT = 3;
-
-	/**
-	 * A load report of at most this age shows reliably whether an engine has spare
-	 * capacity. The age is a part of the duration of a long response.
-	 */
-	static final long FRESH_REPORT_AGE_MS = 1_000;
+	private final Map<String, ReservedEngines> reservedByService = new HashMap<>();
 
 	/**
 	 * An engine with at least this many requests counts as serving short prompts. Long
@@ -99,8 +97,10 @@
 			TrackedServer engine = placeShortPrompt(prompt, decodeEngines, targetMs, nowMs);
 			return new Placement.SingleServer(engine, engine.uncachedTokens(prompt));
 		}
+		Set<TrackedServer> reserved = reserved(decodeEngines, nowMs).select(decodeEngines, nowMs);
 		List<TrackedServer> longPromptEngines = usable.stream()
-			.filter((engine) -> engine.isPrefill() || !servesShortPrompts(engine, nowMs))
+			.filter((engine) -> engine.isPrefill()
+					|| (!reserved.contains(engine) && !servesShortPrompts(engine, nowMs)))
 			.toList();
 		return placeLongPrompt(prompt, longPromptEngines.isEmpty() ? usable : longPromptEngines, decodeEngines,
 				targetMs, nowMs)
@@ -124,6 +124,41 @@
 				: Optional.of(selectDecodeEngine(source, decodeEngines, targetMs, nowMs));
 	}
 
+	/**
+	 * Selects the engines whose load should be known before a request is placed, because
+	 * a long response would wait for seconds at an engine without a spare slot.
+	 * @param prompt the prompt
+	 * @param engines engines of the service that accept requests
+	 * @param avoided ids of engines that earlier attempts of this request were sent to
+	 * @param nowMs current time of the monotonic clock
+	 * @return the engines without a fresh load report; empty if the request can be placed
+	 * now
+	 */
+	public List<TrackedServer> enginesToProbe(PromptShape prompt, List<TrackedServer> engines, Set<String> avoided,
+			long nowMs) {
+		List<TrackedServer> decodeEngines = withDecodeRole(usable(engines, avoided, nowMs));
+		if (decodeEngines.size() < 2 || prompt.sharedTokens() >= MIN_AFFINITY_TOKENS) {
+			return List.of();
+		}
+		List<TrackedServer> compared = reserved(decodeEngines, nowMs).compared(decodeEngines, spreadKey(prompt), nowMs);
+		long spare = ReservedEngines.fresh(compared, nowMs)
+			.filter((engine) -> engine.generationLoad(nowMs) < 1)
+			.count();
+		return (spare > 0) ? List.of()
+				: compared.stream()
+					.filter((engine) -> engine.reportAgeMs(nowMs) > ReservedEngines.FRESH_REPORT_AGE_MS)
+					.toList();
+	}
+
+	private static String spreadKey(PromptShape prompt) {
+		return prompt.parts().isEmpty() ? "" : prompt.parts().get(prompt.parts().size() - 1).id();
+	}
+
+	private ReservedEngines reserved(List<TrackedServer> decodeEngines, long nowMs) {
+		return this.reservedByService.computeIfAbsent(decodeEngines.get(0).server().service(),
+				(service) -> new ReservedEngines(nowMs));
+	}
+
 	private static List<TrackedServer> usable(List<TrackedServer> engines, Set<String> avoided, long nowMs) {
 		List<TrackedServer> untried = engines.stream()
 			.filter((engine) -> !avoided.contains(engine.server().id()))
@@ -140,7 +175,7 @@
 		return engine.occupancy(nowMs, MAX_RUNNING_AGE_MS) >= MIN_SHORT_PROMPT_REQUESTS;
 	}
 
-	private static Optional<Placement> placeLongPrompt(PromptShape prompt, List<TrackedServer> candidates,
+	private Optional<Placement> placeLongPrompt(PromptShape prompt, List<TrackedServer> candidates,
 			List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
 		List<PromptPart> shared = prompt.sharedParts();
 		String key = shared.get(shared.size() - 1).id();
@@ -160,7 +195,7 @@
 				? (int) Math.min(tokens, prompt.promptTokens() - HOME_CACHE_HIT_SHARE * prompt.sharedTokens()) : tokens;
 	}
 
-	private static Placement placeAt(Home home, List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
+	private Placement placeAt(Home home, List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
 		return home.engine().isPrefill() ? new Placement.Split(home.engine(),
 				selectDecodeEngine(home.engine(), decodeEngines, targetMs, nowMs), home.tokens())
 				: new Placement.SingleServer(home.engine(), home.tokens());
@@ -168,47 +203,48 @@
 
 	// Prefers the data centre of the source: transfers between data centres take longer
 	// and cost more.
-	private static TrackedServer selectDecodeEngine(TrackedServer source, List<TrackedServer> decodeEngines,
-			long targetMs, long nowMs) {
-		List<TrackedServer> sameDataCentre = decodeEngines.stream()
-			.filter((engine) -> engine.server().dataCentre().equals(source.server().dataCentre()))
-			.toList();
-		return (sameDataCentre.isEmpty() ? decodeEngines : sameDataCentre).stream()
-			.min(Comparator.<TrackedServer, Boolean>comparing((engine) -> engine.window().isStalled(targetMs, nowMs))
+	private TrackedServer selectDecodeEngine(TrackedServer source, List<TrackedServer> decodeEngines, long targetMs,
+			long nowMs) {
+		Set<TrackedServer> reserved = reserved(decodeEngines, nowMs).select(decodeEngines, nowMs);
+		String dataCentre = source.server().dataCentre();
+		return decodeEngines.stream()
+			.min(Comparator
+				.<TrackedServer, Boolean>comparing((engine) -> !engine.server().dataCentre().equals(dataCentre))
+				.thenComparing(reserved::contains)
+				.thenComparing((engine) -> engine.window().isStalled(targetMs, nowMs))
 				.thenComparingInt((engine) -> engine.waiting(nowMs, MAX_WAITING_AGE_MS))
 				.thenComparingInt((engine) -> engine.occupancy(nowMs, MAX_RUNNING_AGE_MS))
 				.thenComparingDouble((engine) -> engine.window().pendingTokens()))
 			.orElseThrow();
 	}
 
-	// All gateways fill the first engine that has spare capacity for prompts and streams.
-	// If its load report is old,
-	// other gateways may have filled it meanwhile, so the request goes to a
-	// pseudo-random one of the first few engines with spare capacity.
-	private static TrackedServer placeShortPrompt(PromptShape prompt, List<TrackedServer> decodeEngines, long targetMs,
+	// Takes the least loaded of a few reserved engines with fresh load reports. Without
+	// such reports, the request goes to a pseudo-random one of these engines, since other
+	// gateways may have filled any of them meanwhile; if they are full, to the next
+	// engine
+	// with spare capacity.
+	private TrackedServer placeShortPrompt(PromptShape prompt, List<TrackedServer> decodeEngines, long targetMs,
 			long nowMs) {
-		List<TrackedServer> withCapacity = Rendezvous
-			.sortByRank(decodeEngines, (engine) -> Rendezvous.rank(engine.server().id(), engine.server().service(), 1))
-			.stream()
-			.filter((engine) -> engine.window().fits(engine.uncachedTokens(prompt), targetMs, nowMs))
-			.filter((engine) -> engine.generationLimit()
-				.allows(engine.occupancy(nowMs, MAX_RUNNING_AGE_MS), engine.server().slots()))
-			.limit(SPREAD_ENGINE_COUNT)
-			.toList();
-		if (withCapacity.isEmpty()) {
-			return decodeEngines.stream()
-				.min(Comparator.comparingInt((engine) -> engine.occupancy(nowMs, MAX_RUNNING_AGE_MS)))
-				.orElseThrow();
-		}
-		if (withCapacity.get(0).reportAgeMs(nowMs) <= FRESH_REPORT_AGE_MS || prompt.parts().isEmpty()) {
-			return withCapacity.get(0);
-		}
-		String spreadKey = prompt.parts().get(prompt.parts().size() - 1).id() + nowMs;
-		return withCapacity.stream()
-			.min(Comparator.comparingDouble((engine) -> Rendezvous.rank(engine.server().id(), spreadKey, 1)))
+		ReservedEngines reserved = reserved(decodeEngines, nowMs);
+		List<TrackedServer> compared = reserved.compared(decodeEngines, spreadKey(prompt), nowMs);
+		reserved.onPlaced(compared, decodeEngines.size(), nowMs);
+		Comparator<TrackedServer> byLoad = Comparator.comparingDouble((engine) -> engine.generationLoad(nowMs));
+		return ReservedEngines.fresh(compared, nowMs)
+			.filter((engine) -> hasCapacity(engine, prompt, targetMs, nowMs))
+			.min(byLoad)
+			.or(() -> compared.stream().filter((engine) -> hasCapacity(engine, prompt, targetMs, nowMs)).findFirst())
+			.or(() -> ReservedEngines.inOrder(decodeEngines)
+				.stream()
+				.filter((engine) -> hasCapacity(engine, prompt, targetMs, nowMs))
+				.findFirst())
+			.or(() -> decodeEngines.stream().min(byLoad))
 			.orElseThrow();
 	}
 
+	private static boolean hasCapacity(TrackedServer engine, PromptShape prompt, long targetMs, long nowMs) {
+		return engine.window().fits(engine.uncachedTokens(prompt), targetMs, nowMs) && engine.generationLoad(nowMs) < 1;
+	}
+
 	private record Home(TrackedServer engine, int tokens) {
 
 	}
--- a/logic/src/main/java/io/anvilusher/logic/placement/GenerationLimit.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/GenerationLimit.java
@@ -53,13 +53,12 @@
 	}
 
 	/**
-	 * Returns whether the engine may run another request.
-	 * @param requests number of requests running or queued at the engine
+	 * Returns the number of requests that the engine may run.
 	 * @param slots number of requests that the engine runs at once
-	 * @return whether the number is below the limit
+	 * @return the limit, at most {@link #PACKING_SHARE} of the slots
 	 */
-	public boolean allows(int requests, int slots) {
-		return requests < Math.min(this.maxRequests, PACKING_SHARE * slots);
+	public double maxRequests(int slots) {
+		return Math.min(this.maxRequests, PACKING_SHARE * slots);
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -141,6 +141,16 @@
 		return Math.max(this.inFlight, reported + this.inFlight - this.inFlightAtReport);
 	}
 
+	/**
+	 * Estimates how much of what the server may run it runs already.
+	 * @param nowMs current time of the monotonic clock
+	 * @return requests running or queued at the server, divided by their limit
+	 */
+	public double generationLoad(long nowMs) {
+		return occupancy(nowMs, EnginePlacer.MAX_RUNNING_AGE_MS)
+				/ this.generationLimit.maxRequests(this.server.slots());
+	}
+
 	/**
 	 * Returns the number of requests queued at the server by its newest load report.
 	 * @param nowMs current time of the monotonic clock
--- a/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
@@ -1,10 +1,18 @@
 package io.anvilusher.logic.placement;
 
+import java.util.List;
+import java.util.Set;
 import java.util.function.DoubleUnaryOperator;
+import java.util.stream.IntStream;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import io.anvilusher.model.fleet.EngineRole;
+import io.anvilusher.model.request.PromptPart;
+import io.anvilusher.model.request.PromptShape;
+
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 public class OverloadReplayTests {
@@ -54,4 +62,34 @@
 		assertTrue(result.shareOfPausesInTarget() > 0.9, "share in target " + result.shareOfPausesInTarget());
 	}
 
+	/**
+	 * A few streams among many long prompts at 33 gateways: most gateways see no stream
+	 * for seconds, so none of them knows which engines generate.
+	 */
+	@Test(dataProvider = "seeds")
+	public void longPromptsOfManyGatewaysDoNotDelayTheFewStreams(long seed) {
+		MixedLoadReplay result = new MixedLoadReplay(seed, 33, 16).simulate(LENGTH_MS, 0.25, 0.006);
+		assertTrue(result.shareOfStreamsInTarget() > 0.9, "share in target " + result.shareOfStreamsInTarget());
+	}
+
+	@Test
+	public void allEnginesTakeLongPromptsWhenThereAreNoShortOnes() {
+		EnginePlacer placer = new EnginePlacer();
+		List<TrackedServer> engines = IntStream.range(0, 10)
+			.mapToObj((index) -> new TrackedServer(new EngineModel("e" + index, EngineRole.DECODE, 165).server()))
+			.toList();
+		assertEquals(enginesUsed(placer, engines, 0), 8);
+		assertEquals(enginesUsed(placer, engines, ReservedEngines.UNUSED_MS + 1), 10);
+	}
+
+	private static long enginesUsed(EnginePlacer placer, List<TrackedServer> engines, long nowMs) {
+		return IntStream.range(0, 200)
+			.mapToObj((index) -> new PromptShape(9_000, 2,
+					List.of(new PromptPart("d" + index, 6_000), new PromptPart("q" + index, 3_000))))
+			.map((prompt) -> placer.place(prompt, engines, Set.of(), 150, nowMs))
+			.map((placement) -> ((Placement.SingleServer) placement).server())
+			.distinct()
+			.count();
+	}
+
 }
