--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -44,7 +44,7 @@
 	 */
 	static final double STALLED_SHARE = 0.65;
 
-	private long lastSentMs = Long.MIN_VALUE / 2;
+	private long lastOversizedSentMs = Long.MIN_VALUE / 2;
 
 	private int pendingPrompts;
 
@@ -54,8 +54,9 @@
 
 	/**
 	 * Returns whether another prompt may be sent. A prompt larger than the limit is sent
-	 * only while nothing else is pending, and only as often as the limit allows on
-	 * average: one limit's worth of tokens per target latency.
+	 * only while nothing else is pending, and such prompts only as often as the limit
+	 * allows on average: one limit's worth of tokens per target latency. Smaller prompts
+	 * do not postpone them, or else they would never be sent in a busy time.
 	 * @param tokens tokens that the engine would have to prefill
 	 * @param targetMs target latency of the first event
 	 * @param nowMs current time of the monotonic clock
@@ -68,7 +69,7 @@
 		if (this.pendingTokens + tokens <= this.limitTokens) {
 			return true;
 		}
-		return this.pendingTokens < 1 && nowMs - this.lastSentMs >= targetMs * tokens / this.limitTokens;
+		return this.pendingTokens < 1 && nowMs - this.lastOversizedSentMs >= targetMs * tokens / this.limitTokens;
 	}
 
 	/**
@@ -89,7 +90,9 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void onSent(double tokens, long nowMs) {
-		this.lastSentMs = nowMs;
+		if (tokens > this.limitTokens) {
+			this.lastOversizedSentMs = nowMs;
+		}
 		this.pendingTokens += tokens;
 		if (this.pendingPrompts++ == 0) {
 			this.lastProgressMs = nowMs;
