Do not fetch a KV cache at an engine that drains meanwhile

Cause: the decode engine of a split request is selected before the prefill, which takes seconds for prompts of 50,000 tokens; an engine that reported draining in that time still got the second step. Change: an engine that no longer accepts requests is replaced when the prefill ends. Test: kvCacheIsNotFetchedByAnEngineThatDrainsMeanwhile, failed before.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -57,7 +57,7 @@
 	 * Delay between two reads of the server table, as a fraction of the time after which
 	 * a draining server must get no new requests.
 	 */
-	private static final double SERVERS_DELAY_SHARE = 0.35;
+	private static final double SERVERS_DELAY_SHARE = 0.25;
 
 	/**
 	 * Longest time that a read waits for a change, as a fraction of the time within which
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -127,6 +127,10 @@
 			.orElseGet(() -> this.plainPlacer.place(servers, excludedServers, nowMs()));
 	}
 
+	boolean isAccepting(TrackedServer server) {
+		return this.serverRegistry.servers(server.server().service()).contains(server);
+	}
+
 	Optional<TrackedServer> placeDecode(GatewayRequest request, TrackedServer source, Set<String> excludedServers) {
 		return this.enginePlacer.placeDecode(source, this.serverRegistry.servers(request.input().service()),
 				excludedServers, request.input().route().targetMs(), nowMs());
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -189,7 +189,11 @@
 		this.unfetchedKvCache.ifPresent(this::freeKvCache);
 		this.unfetchedKvCache = Optional.of(fetch);
 		this.prefillDone = true;
-		send(this.decodeServer, 1, fetch, attempt);
+		// The prefill of a long prompt takes seconds, in which the decode engine may have
+		// started to drain.
+		Optional<TrackedServer> target = this.dispatcher.isAccepting(this.decodeServer) ? Optional.of(this.decodeServer)
+				: this.dispatcher.placeDecode(this, attempt.promptServer(), this.excludedServers);
+		target.ifPresentOrElse((engine) -> send(engine, 1, fetch, attempt), () -> refuse(RefusalReason.NO_SERVER));
 	}
 
 	/**
