--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -140,7 +140,7 @@
 		if (decodeEngines.size() < 2 || prompt.sharedTokens() >= MIN_AFFINITY_TOKENS) {
 			return List.of();
 		}
-		List<TrackedServer> compared = reserved(decodeEngines, nowMs).compared(decodeEngines, spreadKey(prompt), nowMs);
+		List<TrackedServer> compared = reserved(decodeEngines, nowMs).compared(decodeEngines, spreadKey(prompt));
 		long spare = ReservedEngines.fresh(compared, nowMs)
 			.filter((engine) -> engine.generationLoad(nowMs) < 1)
 			.count();
@@ -218,15 +218,14 @@
 			.orElseThrow();
 	}
 
-	// Takes the least loaded of a few reserved engines with fresh load reports. Without
-	// such reports, the request goes to a pseudo-random one of these engines, since other
-	// gateways may have filled any of them meanwhile; if they are full, to the next
-	// engine
-	// with spare capacity.
+	// Takes the least loaded of a few engines with fresh load reports. Without such
+	// reports, any of these engines may have been filled by other gateways, so the
+	// request
+	// goes to a pseudo-random one. If they are full, it goes to the next engine in order.
 	private TrackedServer placeShortPrompt(PromptShape prompt, List<TrackedServer> decodeEngines, long targetMs,
 			long nowMs) {
 		ReservedEngines reserved = reserved(decodeEngines, nowMs);
-		List<TrackedServer> compared = reserved.compared(decodeEngines, spreadKey(prompt), nowMs);
+		List<TrackedServer> compared = reserved.compared(decodeEngines, spreadKey(prompt));
 		reserved.onPlaced(compared, decodeEngines.size(), nowMs);
 		Comparator<TrackedServer> byLoad = Comparator.comparingDouble((engine) -> engine.generationLoad(nowMs));
 		return ReservedEngines.fresh(compared, nowMs)
--- a/logic/src/main/java/io/anvilusher/logic/placement/ReservedEngines.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ReservedEngines.java
@@ -90,10 +90,9 @@
 	 * Selects the engines whose load should be known before a short prompt is placed.
 	 * @param decodeEngines engines with the decode role
 	 * @param spreadKey key by which gateways and requests select different engines
-	 * @param nowMs current time of the monotonic clock
-	 * @return engines to compare; fewer than two if there are no more
+	 * @return some of the reserved engines, or the first engine if none is reserved
 	 */
-	public List<TrackedServer> compared(List<TrackedServer> decodeEngines, String spreadKey, long nowMs) {
+	public List<TrackedServer> compared(List<TrackedServer> decodeEngines, String spreadKey) {
 		List<TrackedServer> first = inOrder(decodeEngines).stream()
 			.limit(Math.max(1, Math.round(this.share * decodeEngines.size())))
 			.toList();
