Do not schedule checks of calls on an HTTP client that is closed

Cause: the periodic check of running calls, added with the limits on endless heads, scheduled itself again while the client's I/O threads ended. Change: no further check is scheduled once the client is closed. Result: StreamingHttpClientTests fails on the code before (one ERROR logged), passes now.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 
@@ -18,6 +19,8 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.DefaultByteBufferPool;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -34,6 +37,8 @@
  */
 public final class StreamingHttpClient implements AutoCloseable {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(StreamingHttpClient.class);
+
 	private static final int BUFFER_BYTES = 16 * 1024;
 
 	private static final int MAX_IDLE_CONNECTIONS_PER_TARGET = 256;
@@ -62,6 +67,8 @@
 
 	private final AtomicBoolean checkScheduled = new AtomicBoolean();
 
+	private volatile boolean closed;
+
 	private StreamingHttpClient(XnioWorker worker) {
 		this.worker = worker;
 	}
@@ -168,14 +175,26 @@
 	}
 
 	private void scheduleCheck() {
-		if (this.checkScheduled.compareAndSet(false, true)) {
-			after(OVERHEAD_CHECK_INTERVAL_MS, () -> {
-				this.checkScheduled.set(false);
-				this.runningCalls.forEach(ClientCall::checkOverhead);
-				if (!this.runningCalls.isEmpty()) {
-					scheduleCheck();
-				}
-			});
+		if (this.closed || !this.checkScheduled.compareAndSet(false, true)) {
+			return;
+		}
+		try {
+			after(OVERHEAD_CHECK_INTERVAL_MS, this::checkRunningCalls);
+		}
+		catch (RejectedExecutionException ex) {
+			// The I/O threads may end between the check of the flag and this call.
+			if (!this.closed) {
+				throw ex;
+			}
+			LOGGER.debug("The client is closed; the calls in progress are no longer checked");
+		}
+	}
+
+	private void checkRunningCalls() {
+		this.checkScheduled.set(false);
+		this.runningCalls.forEach(ClientCall::checkOverhead);
+		if (!this.runningCalls.isEmpty()) {
+			scheduleCheck();
 		}
 	}
 
@@ -228,6 +247,7 @@
 
 	@Override
 	public void close() {
+		this.closed = true;
 		this.idleConnections.values()
 			.forEach((connections) -> connections.forEach((pooled) -> IoUtils.safeClose(pooled.connection())));
 		this.worker.shutdown();
