Let queued requests pass one that finds no server

Cause: the queue of a service placed requests in order until one could not be placed. A long prompt whose homes were full held up prompts with other homes, which were then refused although their engines had capacity. Change: each queued request is tried, oldest first.

--- a/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
@@ -3,11 +3,12 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
- * Bounded FIFO queue of requests for which no server has spare capacity yet. A request is
+ * Bounded queue of requests for which no server has spare capacity yet. A request is
  * queued only for a fraction of its target latency and is then rejected, while its caller
  * can still try elsewhere. This absorbs short bursts of arrivals; in an overload of
  * several seconds a longer queue would make every request miss its target.
@@ -44,13 +45,12 @@
 	}
 
 	/**
-	 * Places queued requests, oldest first, until one cannot be placed.
+	 * Tries to place each queued request, oldest first. A request that finds no server
+	 * does not hold up those behind it: the homes of their prompts may have capacity.
 	 * @param place tries to place a request and returns whether it did
 	 */
 	public void placeQueued(Predicate<T> place) {
-		while (!this.queue.isEmpty() && place.test(this.queue.getFirst().request())) {
-			this.queue.removeFirst();
-		}
+		List.copyOf(this.queue).stream().filter((queued) -> place.test(queued.request())).forEach(this.queue::remove);
 	}
 
 	/**
