Do not take an engine that a burst fills for a moment for one with long responses

Load pattern: bursts of long prompts on engines with six slots. A load report of four running requests excluded a decode engine as home of long prompts for eight seconds. Four long prompts at once look the same, and an excluded engine sends this gateway no newer report. Ruled out: full decode slots (medians of 15 to 25 ms for the fetch in calm seconds). Change: the fewest running requests of the newest three reports count, for 3 s.

--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -63,7 +63,7 @@
 	private final Map<String, ReservedEngines> reservedByService = new HashMap<>();
 
 	/**
-	 * An engine with at least this many requests counts as serving short prompts. Long
+	 * An engine with at least this many steady requests serves short prompts. Long
 	 * prompts alone leave fewer requests running, because their responses are short.
 	 */
 	static final int MIN_SHORT_PROMPT_REQUESTS = 4;
@@ -172,7 +172,7 @@
 	}
 
 	private static boolean servesShortPrompts(TrackedServer engine, long nowMs) {
-		return engine.occupancy(nowMs, MAX_RUNNING_AGE_MS) >= MIN_SHORT_PROMPT_REQUESTS;
+		return engine.steadyRequests(nowMs) >= MIN_SHORT_PROMPT_REQUESTS;
 	}
 
 	private Optional<Placement> placeLongPrompt(PromptShape prompt, List<TrackedServer> candidates,
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -1,5 +1,7 @@
 package io.anvilusher.logic.placement;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,6 +23,15 @@
 	 */
 	private static final int MAX_CACHED_PARTS = 2_048;
 
+	/** Number of load reports that {@link #steadyRequests} compares. */
+	private static final int STEADY_REPORTS = 3;
+
+	/**
+	 * Older reports say nothing about the requests that are running: the duration of a
+	 * response of average length.
+	 */
+	private static final long MAX_STEADY_AGE_MS = 3_000;
+
 	private RegisteredServer server;
 
 	private final ServerHealth health = new ServerHealth();
@@ -35,6 +46,8 @@
 
 	private int reportedWaiting;
 
+	private final Deque<Integer> recentRunning = new ArrayDeque<>();
+
 	private int inFlightAtReport;
 
 	private long lastReportMs = Long.MIN_VALUE / 2;
@@ -122,6 +135,13 @@
 	public void onLoadReport(int running, int waiting, long nowMs) {
 		this.reportedRunning = running;
 		this.reportedWaiting = waiting;
+		if (nowMs - this.lastReportMs > MAX_STEADY_AGE_MS) {
+			this.recentRunning.clear();
+		}
+		this.recentRunning.addLast(running);
+		if (this.recentRunning.size() > STEADY_REPORTS) {
+			this.recentRunning.removeFirst();
+		}
 		this.inFlightAtReport = this.inFlight;
 		this.lastReportMs = nowMs;
 	}
@@ -141,6 +161,21 @@
 		return Math.max(this.inFlight, reported + this.inFlight - this.inFlightAtReport);
 	}
 
+	/**
+	 * Estimates the number of requests with long responses at the server. A burst of long
+	 * prompts also occupies slots, but only for a short time, so that not every report
+	 * shows them.
+	 * @param nowMs current time of the monotonic clock
+	 * @return the fewest running requests in the newest load reports, or the requests of
+	 * this gateway if the reports are old
+	 */
+	public int steadyRequests(long nowMs) {
+		if (nowMs - this.lastReportMs > MAX_STEADY_AGE_MS) {
+			return this.inFlight;
+		}
+		return this.recentRunning.stream().mapToInt(Integer::intValue).min().orElse(this.inFlight);
+	}
+
 	/**
 	 * Estimates how much of what the server may run it runs already.
 	 * @param nowMs current time of the monotonic clock
