Defer long prompts before they are late, not after

Cause: with a share that shrinks only for late prompts, the prompts of the share fill the engines until deferred ones reach their deadline.

--- a/logic/src/main/java/io/anvilusher/logic/placement/AdmissionShare.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/AdmissionShare.java
@@ -15,11 +15,12 @@
 final class AdmissionShare {
 
 	/** The share grows if a prompt took less than this share of the target. */
-	static final double GROW_BELOW_SHARE = 0.65;
+	static final double GROW_BELOW_SHARE = 0.45;
 
-	/**
-	 * Factor by which the share is multiplied when a prompt took longer than the target.
-	 */
+	/** The share shrinks if a prompt took more than this share of the target. */
+	static final double SHRINK_ABOVE_SHARE = 0.65;
+
+	/** Factor by which the share is multiplied when it shrinks. */
 	static final double SHRINK_FACTOR = 0.6;
 
 	/** Growth of the share with each early prompt. */
@@ -55,7 +56,7 @@
 			this.share = Math.min(1, this.share + GROWTH);
 		}
 		// Prompts that were delayed by the same queue shrink the share only once.
-		else if (elapsedMs > targetMs && nowMs - this.lastShrinkMs >= targetMs) {
+		else if (elapsedMs > SHRINK_ABOVE_SHARE * targetMs && nowMs - this.lastShrinkMs >= targetMs) {
 			this.lastShrinkMs = nowMs;
 			this.share = Math.max(MIN_SHARE, SHRINK_FACTOR * this.share);
 		}
