Limit deferred prompts by those that are served

Cause: in an overload that lasts, deferred prompts wait for their deadline and fill the queues of the engines, which then reject urgent prompts too. Change: DeferralLimit halves when a deferred prompt is rejected, expires or is given up, and grows with each that is served; beyond it a prompt is refused at once.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -64,6 +64,8 @@
 
 	private boolean sendStarted;
 
+	private boolean promptPrefilled;
+
 	private boolean promptReleased;
 
 	private boolean ended;
@@ -89,7 +91,7 @@
 	void start() {
 		RequestInput input = this.request.input();
 		if (this.deferred) {
-			this.trackedServer.onDeferredSent();
+			this.dispatcher.enginePlacer().onDeferredSent(this.trackedServer);
 		}
 		else {
 			this.trackedServer.onSent(this.sentAtMs);
@@ -287,6 +289,7 @@
 	}
 
 	private void recordResult(PromptShape prompt) {
+		this.promptPrefilled = true;
 		if (this.deferred) {
 			return;
 		}
@@ -384,9 +387,18 @@
 	}
 
 	private void releasePrompt() {
-		if (!this.promptReleased && !this.deferred) {
-			this.promptReleased = true;
-			this.trackedServer.window().onSettled(this.uncachedTokens, this.dispatcher.nowMs());
+		if (this.promptReleased) {
+			return;
+		}
+		this.promptReleased = true;
+		long nowMs = this.dispatcher.nowMs();
+		if (this.deferred) {
+			this.dispatcher.enginePlacer()
+				.onDeferredSettled(this.trackedServer, this.promptPrefilled, this.request.input().route().targetMs(),
+						nowMs);
+		}
+		else {
+			this.trackedServer.window().onSettled(this.uncachedTokens, nowMs);
 		}
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -64,6 +64,8 @@
 
 	private final Map<String, AdmissionShare> shares = new HashMap<>();
 
+	private final Map<String, DeferralLimit> deferralLimits = new HashMap<>();
+
 	/**
 	 * An engine with at least this many steady requests serves short prompts. Long
 	 * prompts alone leave fewer requests running, because their responses are short.
@@ -101,7 +103,7 @@
 		}
 		List<Home> homes = homes(prompt, usable, decodeEngines, nowMs);
 		List<Home> admitted = homes.stream().filter((home) -> isAdmitted(home.engine(), prompt)).toList();
-		if (admitted.isEmpty()) {
+		if (admitted.isEmpty() && deferralLimit(homes.get(0).engine()).allows()) {
 			return placeAt(homes.get(0), true, decodeEngines, targetMs, nowMs);
 		}
 		return admitted.stream()
@@ -119,20 +121,45 @@
 	 * @param avoided ids of engines that earlier attempts of this request were sent to
 	 * @param targetMs target latency of the first event
 	 * @param nowMs current time of the monotonic clock
-	 * @return the placement, or empty for a short prompt or if no engine with the decode
-	 * role is left to try
+	 * @return the placement, or empty for a short prompt, if deferred prompts are not
+	 * served, or if no engine with the decode role is left to try
 	 */
 	public Optional<Placement> placeDeferred(PromptShape prompt, List<TrackedServer> engines, Set<String> avoided,
 			long targetMs, long nowMs) {
 		List<TrackedServer> usable = usable(engines, avoided, nowMs);
 		List<TrackedServer> decodeEngines = withDecodeRole(usable);
-		if (decodeEngines.isEmpty() || prompt.sharedTokens() < MIN_AFFINITY_TOKENS) {
+		if (decodeEngines.isEmpty() || prompt.sharedTokens() < MIN_AFFINITY_TOKENS
+				|| !deferralLimit(decodeEngines.get(0)).allows()) {
 			return Optional.empty();
 		}
 		Home home = homes(prompt, usable, decodeEngines, nowMs).get(0);
 		return Optional.of(placeAt(home, true, decodeEngines, targetMs, nowMs));
 	}
 
+	/**
+	 * Records that a deferred prompt is being sent.
+	 * @param engine the engine that prefills it
+	 */
+	public void onDeferredSent(TrackedServer engine) {
+		engine.onDeferredSent();
+		deferralLimit(engine).onSent();
+	}
+
+	/**
+	 * Records that a deferred prompt no longer waits.
+	 * @param engine the engine that it was sent to
+	 * @param served whether the engine prefilled it
+	 * @param targetMs target latency of the first event
+	 * @param nowMs current time of the monotonic clock
+	 */
+	public void onDeferredSettled(TrackedServer engine, boolean served, long targetMs, long nowMs) {
+		deferralLimit(engine).onSettled(served, targetMs, nowMs);
+	}
+
+	private DeferralLimit deferralLimit(TrackedServer engine) {
+		return this.deferralLimits.computeIfAbsent(engine.server().service(), (service) -> new DeferralLimit());
+	}
+
 	/**
 	 * Selects another decode engine to fetch a KV cache, after the one selected before
 	 * did not accept the request.
--- a/logic/src/test/java/io/anvilusher/logic/placement/LoadReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/LoadReplay.java
@@ -124,7 +124,10 @@
 			.filter((candidate) -> candidate.server().id().equals(server.server().id()))
 			.findFirst()
 			.orElseThrow();
-		if (!deferred) {
+		if (deferred) {
+			policy.onDeferredSent(server);
+		}
+		else {
 			server.window().onSent(tokens, (long) atMs);
 		}
 		EnginePriority priority = deferred ? EnginePriority.DEFERRED : EnginePriority.LONG_PROMPT;
@@ -133,7 +136,10 @@
 			this.events
 				.add(new Event(firstMs, () -> onFirstEvent(policy, prompt, server, tokens, deferred, atMs, firstMs)));
 		});
-		if (!queued && !deferred) {
+		if (!queued && deferred) {
+			policy.onDeferredSettled(server, false, (long) atMs);
+		}
+		else if (!queued) {
 			server.window().onSettled(tokens, (long) atMs);
 			server.window().onRejected(TARGET_MS, (long) atMs);
 		}
@@ -150,7 +156,10 @@
 
 	private void onFirstEvent(Policy policy, PromptShape prompt, TrackedServer server, int tokens, boolean deferred,
 			double atMs, double firstMs) {
-		if (!deferred) {
+		if (deferred) {
+			policy.onDeferredSettled(server, firstMs - atMs <= DEADLINE_MS, (long) firstMs);
+		}
+		else {
 			server.window().onSettled(tokens, (long) firstMs);
 			policy.onResult(server, prompt, tokens, (long) (firstMs - atMs), (long) firstMs);
 		}
@@ -206,6 +215,16 @@
 				return placer.placeDeferred(prompt, servers, avoided, TARGET_MS, nowMs).orElseGet(Placement.Full::new);
 			}
 
+			@Override
+			public void onDeferredSent(TrackedServer engine) {
+				placer.onDeferredSent(engine);
+			}
+
+			@Override
+			public void onDeferredSettled(TrackedServer engine, boolean served, long nowMs) {
+				placer.onDeferredSettled(engine, served, TARGET_MS, nowMs);
+			}
+
 			@Override
 			public void onResult(TrackedServer engine, PromptShape prompt, double tokens, long elapsedMs, long nowMs) {
 				placer.onResult(engine, prompt, tokens, elapsedMs, TARGET_MS, nowMs);
@@ -233,6 +252,14 @@
 			return new Placement.Full();
 		}
 
+		default void onDeferredSent(TrackedServer engine) {
+			// A baseline defers no prompts.
+		}
+
+		default void onDeferredSettled(TrackedServer engine, boolean served, long nowMs) {
+			// A baseline defers no prompts.
+		}
+
 		default void onResult(TrackedServer engine, PromptShape prompt, double tokens, long elapsedMs, long nowMs) {
 			engine.window().onFirstEvent(tokens, elapsedMs, TARGET_MS, nowMs);
 		}
--- a/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
@@ -66,6 +66,18 @@
 		assertTrue(result.inTarget() > 0.7 * total, result.toString());
 	}
 
+	/**
+	 * Three times what the engines can prefill, without an end: prompts that are deferred
+	 * then only wait for their deadline.
+	 */
+	@Test(dataProvider = "seeds")
+	public void lastingOverloadAtManyGatewaysLetsFewPromptsWaitInVain(long seed) {
+		LoadReplay result = new LoadReplay(seed, 33, 20).simulate(LENGTH_MS, (atMs) -> 3, LoadReplay::enginePlacer);
+		int total = result.inTarget() + result.late() + result.rejected() + result.expired();
+		assertTrue(result.expired() < 0.01 * total, result.toString());
+		assertTrue(result.inTarget() > 2 * result.late(), result.toString());
+	}
+
 	/**
 	 * Prompts of medium size with short responses on engines with many slots: the prefill
 	 * of one prompt after another delays all streams of an engine that is filled by its
