--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -127,16 +127,6 @@
 			.orElseGet(() -> this.plainPlacer.place(servers, excludedServers, nowMs()));
 	}
 
-	Optional<Placement> placeDeferred(GatewayRequest request, Set<String> excludedServers) {
-		return request.input()
-			.head()
-			.prompt()
-			.filter((prompt) -> request.input().route().carriesPrompt())
-			.flatMap((prompt) -> this.enginePlacer.placeDeferred(prompt,
-					this.serverRegistry.servers(request.input().service()), excludedServers,
-					request.input().route().targetMs(), nowMs()));
-	}
-
 	boolean isAccepting(TrackedServer server) {
 		return this.serverRegistry.servers(server.server().service()).contains(server);
 	}
@@ -197,7 +187,7 @@
 		long nowMs = nowMs();
 		this.serviceStates.values().forEach((state) -> {
 			state.queue().placeQueued(GatewayRequest::tryPlace);
-			state.queue().expire(nowMs, GatewayRequest::deferOrRefuse);
+			state.queue().expire(nowMs, GatewayRequest::refuseSaturated);
 		});
 		this.checkScheduled = this.serviceStates.values().stream().anyMatch((state) -> state.queue().size() > 0);
 		if (this.checkScheduled) {
@@ -257,10 +247,6 @@
 		return this.clock.nowMs();
 	}
 
-	EnginePlacer enginePlacer() {
-		return this.enginePlacer;
-	}
-
 	WireFormat format() {
 		return this.format;
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -72,14 +72,8 @@
 
 	private boolean prefillDone;
 
-	private @Nullable ServerAttempt prefillAttempt;
-
-	private long prefillMs = -1;
-
 	private int sends;
 
-	private boolean deferred;
-
 	private int possibleRuns;
 
 	private boolean mayHaveRun;
@@ -124,7 +118,7 @@
 
 	private void placeOrEnqueueNow() {
 		if (!tryPlace() && !this.dispatcher.enqueue(this)) {
-			deferOrRefuse();
+			refuseSaturated();
 		}
 	}
 
@@ -142,13 +136,8 @@
 		if (placement instanceof Placement.Full) {
 			return false;
 		}
-		sendTo(placement);
-		return true;
-	}
-
-	private void sendTo(Placement placement) {
 		if (placement instanceof Placement.SingleServer unsplit) {
-			send(unsplit.server(), unsplit.uncachedTokens(), unsplit.deferred(), new KvStep.None(), null);
+			send(unsplit.server(), unsplit.uncachedTokens(), new KvStep.None(), null);
 		}
 		else if (placement instanceof Placement.Split split) {
 			// The retry budget allowed one more attempt. Running the prefill again as
@@ -158,21 +147,20 @@
 				.retryBudget()
 				.tryRetry(this.dispatcher.nowMs())) {
 				refuse(RefusalReason.SERVICE_SATURATED);
-				return;
+				return true;
 			}
 			this.decodeServer = split.decode();
-			send(split.prefill(), split.uncachedTokens(), split.deferred(), new KvStep.Prefill(), null);
+			send(split.prefill(), split.uncachedTokens(), new KvStep.Prefill(), null);
 		}
 		else {
 			refuse(RefusalReason.NO_SERVER);
 		}
+		return true;
 	}
 
-	private void send(TrackedServer server, int uncachedTokens, boolean deferred, KvStep step,
-			@Nullable ServerAttempt prefill) {
+	private void send(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
 		this.sends++;
-		this.deferred |= deferred;
-		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, deferred, step, prefill);
+		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
 		this.currentAttempt = next;
 		next.start();
 	}
@@ -181,13 +169,8 @@
 		return this.streamStarted ? this.eventSplitter.lastId() : OptionalLong.empty();
 	}
 
-	/**
-	 * Called when no server had capacity while the request was queued. A long prompt is
-	 * sent to wait behind those that can be in time; other requests are refused.
-	 */
-	void deferOrRefuse() {
-		this.dispatcher.placeDeferred(this, this.excludedServers)
-			.ifPresentOrElse(this::sendTo, () -> refuse(RefusalReason.SERVICE_SATURATED));
+	void refuseSaturated() {
+		refuse(RefusalReason.SERVICE_SATURATED);
 	}
 
 	/**
@@ -206,14 +189,11 @@
 		this.unfetchedKvCache.ifPresent(this::freeKvCache);
 		this.unfetchedKvCache = Optional.of(fetch);
 		this.prefillDone = true;
-		this.prefillAttempt = attempt;
-		this.prefillMs = attempt.elapsedMs();
 		// The prefill of a long prompt takes seconds, in which the decode engine may have
 		// started to drain.
 		Optional<TrackedServer> target = this.dispatcher.isAccepting(this.decodeServer) ? Optional.of(this.decodeServer)
 				: this.dispatcher.placeDecode(this, attempt.promptServer(), this.excludedServers);
-		target.ifPresentOrElse((engine) -> send(engine, 1, false, fetch, attempt),
-				() -> refuse(RefusalReason.NO_SERVER));
+		target.ifPresentOrElse((engine) -> send(engine, 1, fetch, attempt), () -> refuse(RefusalReason.NO_SERVER));
 	}
 
 	/**
@@ -308,7 +288,7 @@
 		}
 		Optional<TrackedServer> target = this.dispatcher.placeDecode(this, attempt.promptServer(),
 				this.excludedServers);
-		target.ifPresent((engine) -> send(engine, 1, false, fetch, attempt.prefill()));
+		target.ifPresent((engine) -> send(engine, 1, fetch, attempt.prefill()));
 		return target.isPresent();
 	}
 
@@ -466,9 +446,6 @@
 			.addKeyValue("workspace", this.input.workspace().orElse(""))
 			.addKeyValue("table_version", this.input.tableVersion())
 			.addKeyValue("server", (this.currentAttempt != null) ? this.currentAttempt.serverId() : "")
-			.addKeyValue("prefill_server", (this.prefillAttempt != null) ? this.prefillAttempt.serverId() : "")
-			.addKeyValue("prefill_ms", this.prefillMs)
-			.addKeyValue("deferred", this.deferred)
 			.addKeyValue("sends", this.sends)
 			.addKeyValue("status", status)
 			.addKeyValue("first_result_ms", this.firstResultMs)
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -16,7 +16,6 @@
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.EnginePlacer;
-import io.anvilusher.logic.placement.EnginePriority;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.HttpHeader;
@@ -48,8 +47,6 @@
 
 	private final int uncachedTokens;
 
-	private final boolean deferred;
-
 	private final KvStep step;
 
 	private final @Nullable ServerAttempt prefill;
@@ -64,8 +61,6 @@
 
 	private boolean sendStarted;
 
-	private boolean promptPrefilled;
-
 	private boolean promptReleased;
 
 	private boolean ended;
@@ -77,8 +72,7 @@
 	private long skippedBytes;
 
 	ServerAttempt(Dispatcher dispatcher, GatewayRequest request, TrackedServer trackedServer, int uncachedTokens,
-			boolean deferred, KvStep step, @Nullable ServerAttempt prefill) {
-		this.deferred = deferred;
+			KvStep step, @Nullable ServerAttempt prefill) {
 		this.prefill = prefill;
 		this.dispatcher = dispatcher;
 		this.request = request;
@@ -90,13 +84,8 @@
 
 	void start() {
 		RequestInput input = this.request.input();
-		if (this.deferred) {
-			this.dispatcher.enginePlacer().onDeferredSent(this.trackedServer);
-		}
-		else {
-			this.trackedServer.onSent(this.sentAtMs);
-			this.trackedServer.window().onSent(this.uncachedTokens, this.sentAtMs);
-		}
+		this.trackedServer.onSent(this.sentAtMs);
+		this.trackedServer.window().onSent(this.uncachedTokens, this.sentAtMs);
 		OptionalInt priority = input.head().prompt().map(this::priority).orElseGet(OptionalInt::empty);
 		ForwardingInfo info = new ForwardingInfo(serverId(), Math.max(1, input.deadlineMs() - this.sentAtMs),
 				input.workspace(), priority, this.request.resumeAfter(), this.step);
@@ -108,18 +97,10 @@
 		this.call = this.dispatcher.client().start(httpCall, this);
 	}
 
+	// Short prompts get priority 1 and run before long ones with priority 4: a short
+	// prompt delays a long one only a little, a long prompt delays a short one a lot.
 	private OptionalInt priority(PromptShape prompt) {
-		return OptionalInt.of(enginePriority(prompt).level());
-	}
-
-	private EnginePriority enginePriority(PromptShape prompt) {
-		if (prompt.promptTokens() < GatewayRequest.SHORT_PROMPT_TOKENS) {
-			return EnginePriority.SHORT_PROMPT;
-		}
-		if (this.step instanceof KvStep.Fetch) {
-			return EnginePriority.PREFILLED;
-		}
-		return this.deferred ? EnginePriority.DEFERRED : EnginePriority.LONG_PROMPT;
+		return OptionalInt.of((prompt.promptTokens() < GatewayRequest.SHORT_PROMPT_TOKENS) ? 1 : 4);
 	}
 
 	String serverId() {
@@ -140,7 +121,7 @@
 	 * otherwise this attempt's own server
 	 */
 	TrackedServer promptServer() {
-		return (this.prefill != null) ? this.prefill.trackedServer : this.trackedServer;
+		return promptAttempt().trackedServer;
 	}
 
 	boolean mayHaveRun() {
@@ -224,7 +205,7 @@
 			// restarted instance of this one.
 			this.trackedServer.health().onConnectionFailure(nowMs);
 		}
-		else if (!this.deferred) {
+		else {
 			this.trackedServer.window().onRejected(this.request.input().route().targetMs(), nowMs);
 		}
 		ignoreRest();
@@ -260,6 +241,15 @@
 		this.request.onFailed(this, failure);
 	}
 
+	/**
+	 * Returns the attempt whose engine computes the KV cache of the prompt.
+	 * @return the prefill attempt if this attempt fetches the KV cache, otherwise this
+	 * attempt
+	 */
+	private ServerAttempt promptAttempt() {
+		return (this.prefill != null) ? this.prefill : this;
+	}
+
 	private void countRun(long nowMs) {
 		if (this.runCounted) {
 			return;
@@ -281,23 +271,15 @@
 		this.trackedServer.health().onResponse(elapsedMs());
 		this.request.input().head().prompt().ifPresent((prompt) -> {
 			this.trackedServer.onPromptPrefilled(prompt.sharedParts());
-			recordResult(prompt);
+			promptAttempt().trackedServer.window()
+				.onFirstEvent(promptAttempt().uncachedTokens, promptAttempt().elapsedMs(),
+						this.request.input().route().targetMs(), nowMs);
 		});
 		countRun(nowMs);
 		releasePrompt();
 		this.dispatcher.onCapacityFreed(this.request.input().service());
 	}
 
-	private void recordResult(PromptShape prompt) {
-		this.promptPrefilled = true;
-		if (this.deferred) {
-			return;
-		}
-		this.dispatcher.enginePlacer()
-			.onResult(this.trackedServer, prompt, this.uncachedTokens, elapsedMs(),
-					this.request.input().route().targetMs(), this.dispatcher.nowMs());
-	}
-
 	/**
 	 * Records a pause between two events of the stream.
 	 * @param pauseMs duration of the pause
@@ -362,7 +344,6 @@
 		PromptShape prompt = this.request.input().head().prompt().orElseThrow();
 		this.trackedServer.health().onResponse(elapsedMs());
 		this.trackedServer.onPromptPrefilled(prompt.sharedParts());
-		recordResult(prompt);
 		end();
 		this.dispatcher.format()
 			.readHandle(this.bufferedBody.toByteArray())
@@ -387,31 +368,16 @@
 	}
 
 	private void releasePrompt() {
-		if (this.promptReleased) {
-			return;
-		}
-		this.promptReleased = true;
-		long nowMs = this.dispatcher.nowMs();
-		if (this.deferred) {
-			this.dispatcher.enginePlacer()
-				.onDeferredSettled(this.trackedServer, this.promptPrefilled, this.request.input().route().targetMs(),
-						nowMs);
-		}
-		else {
-			this.trackedServer.window().onSettled(this.uncachedTokens, nowMs);
+		if (!this.promptReleased) {
+			this.promptReleased = true;
+			this.trackedServer.window().onSettled(this.uncachedTokens, this.dispatcher.nowMs());
 		}
 	}
 
 	private void end() {
 		releasePrompt();
-		if (this.ended) {
-			return;
-		}
-		this.ended = true;
-		if (this.deferred) {
-			this.trackedServer.onDeferredEnded();
-		}
-		else {
+		if (!this.ended) {
+			this.ended = true;
 			this.trackedServer.onEnded();
 		}
 	}
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -6,7 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Stream;
+import java.util.stream.IntStream;
 
 import io.anvilusher.logic.routing.Rendezvous;
 import io.anvilusher.model.request.PromptPart;
@@ -37,8 +37,8 @@
 	static final int MIN_AFFINITY_TOKENS = 1_024;
 
 	/**
-	 * Number of engines of each role that may be the home of a shared part, as in
-	 * consistent hashing with bounded loads.
+	 * Number of engines that may be the home of a shared part, as in consistent hashing
+	 * with bounded loads.
 	 */
 	static final int MAX_HOMES = 3;
 
@@ -62,10 +62,6 @@
 
 	private final Map<String, ReservedEngines> reservedByService = new HashMap<>();
 
-	private final Map<String, AdmissionShare> shares = new HashMap<>();
-
-	private final Map<String, DeferralLimit> deferralLimits = new HashMap<>();
-
 	/**
 	 * An engine with at least this many steady requests serves short prompts. Long
 	 * prompts alone leave fewer requests running, because their responses are short.
@@ -101,65 +97,16 @@
 			TrackedServer engine = placeShortPrompt(prompt, decodeEngines, targetMs, nowMs);
 			return new Placement.SingleServer(engine, engine.uncachedTokens(prompt));
 		}
-		List<Home> homes = homes(prompt, usable, decodeEngines, nowMs);
-		List<Home> admitted = homes.stream().filter((home) -> isAdmitted(home.engine(), prompt)).toList();
-		if (admitted.isEmpty() && deferralLimit(homes.get(0).engine()).allows()) {
-			return placeAt(homes.get(0), true, decodeEngines, targetMs, nowMs);
-		}
-		return admitted.stream()
-			.filter((home) -> home.engine().window().fits(home.tokens(), targetMs, nowMs))
-			.findFirst()
-			.map((home) -> placeAt(home, false, decodeEngines, targetMs, nowMs))
+		Set<TrackedServer> reserved = reserved(decodeEngines, nowMs).select(decodeEngines, nowMs);
+		List<TrackedServer> longPromptEngines = usable.stream()
+			.filter((engine) -> engine.isPrefill()
+					|| (!reserved.contains(engine) && !servesShortPrompts(engine, nowMs)))
+			.toList();
+		return placeLongPrompt(prompt, longPromptEngines.isEmpty() ? usable : longPromptEngines, decodeEngines,
+				targetMs, nowMs)
 			.orElseGet(Placement.Full::new);
 	}
 
-	/**
-	 * Places a long prompt for which no engine has capacity in time. The engine prefills
-	 * it when no other prompt waits.
-	 * @param prompt the prompt
-	 * @param engines engines of the service that accept requests
-	 * @param avoided ids of engines that earlier attempts of this request were sent to
-	 * @param targetMs target latency of the first event
-	 * @param nowMs current time of the monotonic clock
-	 * @return the placement, or empty for a short prompt, if deferred prompts are not
-	 * served, or if no engine with the decode role is left to try
-	 */
-	public Optional<Placement> placeDeferred(PromptShape prompt, List<TrackedServer> engines, Set<String> avoided,
-			long targetMs, long nowMs) {
-		List<TrackedServer> usable = usable(engines, avoided, nowMs);
-		List<TrackedServer> decodeEngines = withDecodeRole(usable);
-		if (decodeEngines.isEmpty() || prompt.sharedTokens() < MIN_AFFINITY_TOKENS
-				|| !deferralLimit(decodeEngines.get(0)).allows()) {
-			return Optional.empty();
-		}
-		Home home = homes(prompt, usable, decodeEngines, nowMs).get(0);
-		return Optional.of(placeAt(home, true, decodeEngines, targetMs, nowMs));
-	}
-
-	/**
-	 * Records that a deferred prompt is being sent.
-	 * @param engine the engine that prefills it
-	 */
-	public void onDeferredSent(TrackedServer engine) {
-		engine.onDeferredSent();
-		deferralLimit(engine).onSent();
-	}
-
-	/**
-	 * Records that a deferred prompt no longer waits.
-	 * @param engine the engine that it was sent to
-	 * @param served whether the engine prefilled it
-	 * @param targetMs target latency of the first event
-	 * @param nowMs current time of the monotonic clock
-	 */
-	public void onDeferredSettled(TrackedServer engine, boolean served, long targetMs, long nowMs) {
-		deferralLimit(engine).onSettled(served, targetMs, nowMs);
-	}
-
-	private DeferralLimit deferralLimit(TrackedServer engine) {
-		return this.deferralLimits.computeIfAbsent(engine.server().service(), (service) -> new DeferralLimit());
-	}
-
 	/**
 	 * Selects another decode engine to fetch a KV cache, after the one selected before
 	 * did not accept the request.
@@ -228,59 +175,17 @@
 		return engine.steadyRequests(nowMs) >= MIN_SHORT_PROMPT_REQUESTS;
 	}
 
-	// Returns the possible homes of the prompt's last shared part, the best one first.
-	private List<Home> homes(PromptShape prompt, List<TrackedServer> usable, List<TrackedServer> decodeEngines,
-			long nowMs) {
-		Set<TrackedServer> reserved = reserved(decodeEngines, nowMs).select(decodeEngines, nowMs);
-		List<TrackedServer> longPromptEngines = usable.stream()
-			.filter((engine) -> engine.isPrefill()
-					|| (!reserved.contains(engine) && !servesShortPrompts(engine, nowMs)))
-			.toList();
-		List<TrackedServer> candidates = longPromptEngines.isEmpty() ? usable : longPromptEngines;
+	private Optional<Placement> placeLongPrompt(PromptShape prompt, List<TrackedServer> candidates,
+			List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
 		List<PromptPart> shared = prompt.sharedParts();
 		String key = shared.get(shared.size() - 1).id();
-		List<TrackedServer> ranked = Rendezvous.sortByRank(candidates,
+		List<TrackedServer> homes = Rendezvous.sortByRank(candidates,
 				(engine) -> Rendezvous.rank(engine.server().id(), key, engine.isPrefill() ? PREFILL_WEIGHT : 1));
-		return Stream.concat(firstOfRole(ranked, true), firstOfRole(ranked, false))
-			.sorted(Comparator.comparingInt(ranked::indexOf))
-			.map((engine) -> new Home(engine, tokensToPrefill(prompt, engine, ranked.indexOf(engine))))
-			.toList();
-	}
-
-	private static Stream<TrackedServer> firstOfRole(List<TrackedServer> ranked, boolean prefill) {
-		return ranked.stream().filter((engine) -> engine.isPrefill() == prefill).limit(MAX_HOMES);
-	}
-
-	private boolean isAdmitted(TrackedServer engine, PromptShape prompt) {
-		return share(engine).admits(spreadKey(prompt), roleName(engine));
-	}
-
-	private AdmissionShare share(TrackedServer engine) {
-		return this.shares.computeIfAbsent(engine.server().service() + '/' + roleName(engine),
-				(key) -> new AdmissionShare());
-	}
-
-	private static String roleName(TrackedServer engine) {
-		return engine.isPrefill() ? "prefill" : "decode";
-	}
-
-	/**
-	 * Records the result of a prompt, to adapt how many prompts the engine and those of
-	 * its role get.
-	 * @param engine the engine
-	 * @param prompt the prompt
-	 * @param tokens tokens that the engine had to prefill
-	 * @param elapsedMs time from sending the prompt until its first event or, on a
-	 * prefill engine, until its KV cache was computed
-	 * @param targetMs target latency of the first event
-	 * @param nowMs current time of the monotonic clock
-	 */
-	public void onResult(TrackedServer engine, PromptShape prompt, double tokens, long elapsedMs, long targetMs,
-			long nowMs) {
-		engine.window().onFirstEvent(tokens, elapsedMs, targetMs, nowMs);
-		if (prompt.sharedTokens() >= MIN_AFFINITY_TOKENS) {
-			share(engine).onResult(elapsedMs, targetMs, nowMs);
-		}
+		return IntStream.range(0, Math.min(MAX_HOMES, homes.size()))
+			.mapToObj((rank) -> new Home(homes.get(rank), tokensToPrefill(prompt, homes.get(rank), rank)))
+			.filter((home) -> home.engine().window().fits(home.tokens(), targetMs, nowMs))
+			.findFirst()
+			.map((home) -> placeAt(home, decodeEngines, targetMs, nowMs));
 	}
 
 	// All gateways use the same first home for a part, so it is probably cached there.
@@ -290,11 +195,10 @@
 				? (int) Math.min(tokens, prompt.promptTokens() - HOME_CACHE_HIT_SHARE * prompt.sharedTokens()) : tokens;
 	}
 
-	private Placement placeAt(Home home, boolean deferred, List<TrackedServer> decodeEngines, long targetMs,
-			long nowMs) {
+	private Placement placeAt(Home home, List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
 		return home.engine().isPrefill() ? new Placement.Split(home.engine(),
-				selectDecodeEngine(home.engine(), decodeEngines, targetMs, nowMs), home.tokens(), deferred)
-				: new Placement.SingleServer(home.engine(), home.tokens(), deferred);
+				selectDecodeEngine(home.engine(), decodeEngines, targetMs, nowMs), home.tokens())
+				: new Placement.SingleServer(home.engine(), home.tokens());
 	}
 
 	// Prefers the data centre of the source: transfers between data centres take longer
--- a/logic/src/main/java/io/anvilusher/logic/placement/Placement.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/Placement.java
@@ -11,18 +11,8 @@
 	 * @param server the server
 	 * @param uncachedTokens prompt tokens that the server has to prefill because they are
 	 * not in its KV cache; 0 for a request without a prompt
-	 * @param deferred whether the request has to wait behind those that can be in time
 	 */
-	record SingleServer(TrackedServer server, int uncachedTokens, boolean deferred) implements Placement {
-
-		/**
-		 * Creates a placement that is not deferred.
-		 * @param server the server
-		 * @param uncachedTokens prompt tokens that the server has to prefill
-		 */
-		public SingleServer(TrackedServer server, int uncachedTokens) {
-			this(server, uncachedTokens, false);
-		}
+	record SingleServer(TrackedServer server, int uncachedTokens) implements Placement {
 
 	}
 
@@ -34,10 +24,8 @@
 	 * @param decode engine that generates the output tokens
 	 * @param uncachedTokens prompt tokens that are not in the KV cache of the prefill
 	 * engine
-	 * @param deferred whether the prompt has to wait behind those that can be in time
 	 */
-	record Split(TrackedServer prefill, TrackedServer decode, int uncachedTokens,
-			boolean deferred) implements Placement {
+	record Split(TrackedServer prefill, TrackedServer decode, int uncachedTokens) implements Placement {
 
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
@@ -9,9 +9,9 @@
 
 /**
  * Bounded queue of requests for which no server has spare capacity yet. A request is
- * queued only for a fraction of its target latency. It is then deferred, or rejected
- * while its caller can still try elsewhere. This absorbs short bursts of arrivals; in an
- * overload of several seconds a longer queue would make every request miss its target.
+ * queued only for a fraction of its target latency and is then rejected, while its caller
+ * can still try elsewhere. This absorbs short bursts of arrivals; in an overload of
+ * several seconds a longer queue would make every request miss its target.
  *
  * @param <T> type of the requests
  */
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -122,23 +122,8 @@
 	 * Records that a request is no longer in progress, whatever its outcome.
 	 */
 	public void onEnded() {
-		onDeferredEnded();
-		this.health.onEnded();
-	}
-
-	/**
-	 * Records that a deferred request is being sent to the server. Silence of the server
-	 * is expected while such a request waits.
-	 */
-	public void onDeferredSent() {
-		this.inFlight++;
-	}
-
-	/**
-	 * Records that a deferred request is no longer in progress, whatever its outcome.
-	 */
-	public void onDeferredEnded() {
 		this.inFlight = Math.max(0, this.inFlight - 1);
+		this.health.onEnded();
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/routing/Rendezvous.java
+++ b/logic/src/main/java/io/anvilusher/logic/routing/Rendezvous.java
@@ -25,17 +25,8 @@
 	 * @return the rank; the server with the lowest rank is the first choice for the key
 	 */
 	public static double rank(String serverId, String key, double weight) {
-		return -Math.log(uniform(serverId, key)) / weight;
-	}
-
-	/**
-	 * Maps an id and a key to a number that is uniformly distributed over many keys.
-	 * @param id an id
-	 * @param key the key
-	 * @return a number between 0 and 1, always the same for the same arguments
-	 */
-	public static double uniform(String id, String key) {
-		return ((hash(id, key.hashCode() * KEY_FACTOR) >>> 11) + 0.5) / (1L << 53);
+		double uniform = ((hash(serverId, key.hashCode() * KEY_FACTOR) >>> 11) + 0.5) / (1L << 53);
+		return -Math.log(uniform) / weight;
 	}
 
 	/**
