--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -39,6 +39,7 @@
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
 import io.anvilusher.gateway.request.Dispatcher;
+import io.anvilusher.gateway.request.TrafficLagMonitor;
 import io.anvilusher.logic.fleet.LapseGuard;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.logic.usage.WallClockEstimator;
@@ -109,6 +110,8 @@
 
 	private final GatewayHttpServer httpServer;
 
+	private final TrafficLagMonitor lagMonitor;
+
 	private final ControlContext context;
 
 	private final DutyMembership dutyMembership;
@@ -160,6 +163,7 @@
 		this.context = new ControlContext(this.control, this.clock, this.meters);
 		this.roleController = new RoleController(this.dutyMembership, settings.process(), this.adapter.engineControl(),
 				() -> this.serversInUse, this.context);
+		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
 						this.adapter.engineControl(), this.meters, runCounter, this.clock, thread, random),
@@ -178,6 +182,7 @@
 	public static Gateway start(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		Gateway gateway = new Gateway(settings, factory);
 		gateway.httpServer.start();
+		gateway.lagMonitor.start();
 		ReadinessServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
 		AdminServer.start(settings.metricsAddress(), gateway.meters, gateway::isReady, gateway::status);
 		// The first calls to the store are made only now, after this thread has loaded
