Let a stopping gateway serve what it can finish while it waits for streams

Such a gateway now accepts a request if its timeout is before its own end, as long as a request from before keeps it up; so no request is taken that could be given up. Test: on the old code servesShortRequestsWhileALongStreamKeepsItFromStopping failed with 503 entry_draining.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ActiveRequests.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ActiveRequests.java
@@ -15,8 +15,12 @@
 
 	private final AtomicInteger count = new AtomicInteger();
 
+	private final AtomicInteger lateCount = new AtomicInteger();
+
 	private volatile boolean draining;
 
+	private volatile boolean late;
+
 	/**
 	 * Creates a counter at zero.
 	 * @param meters meters in which the number is published as a gauge
@@ -30,9 +34,16 @@
 	 * @param exchange exchange of the request
 	 */
 	public void add(HttpServerExchange exchange) {
+		boolean isLate = this.late;
 		this.count.incrementAndGet();
+		if (isLate) {
+			this.lateCount.incrementAndGet();
+		}
 		exchange.addExchangeCompleteListener((ended, next) -> {
 			this.count.decrementAndGet();
+			if (isLate) {
+				this.lateCount.decrementAndGet();
+			}
 			next.proceed();
 		});
 		if (this.draining) {
@@ -49,6 +60,21 @@
 		this.draining = true;
 	}
 
+	/**
+	 * Counts the requests that arrive from now on separately.
+	 */
+	public void startLatePhase() {
+		this.late = true;
+	}
+
+	/**
+	 * Returns whether requests are active that arrived before {@link #startLatePhase()}.
+	 * @return whether there is at least one
+	 */
+	public boolean hasEarlierRequests() {
+		return this.count.get() > this.lateCount.get();
+	}
+
 	/**
 	 * Returns whether the process is draining.
 	 * @return whether {@link #startDraining()} was called
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -12,6 +12,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
@@ -26,6 +27,7 @@
 import io.anvilusher.gateway.request.RequestInput;
 import io.anvilusher.gateway.wire.RequestHead;
 import io.anvilusher.gateway.wire.WireFormat;
+import io.anvilusher.logic.admission.DrainAdmission;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.model.request.RefusalReason;
 import io.anvilusher.model.routing.Route;
@@ -71,6 +73,8 @@
 	/** Retry-After delay while draining: the time to open a new connection. */
 	private static final long DRAINING_RETRY_AFTER_MS = 20;
 
+	private static final long DRAIN_CHECK_INTERVAL_MS = 10;
+
 	private final Undertow undertow;
 
 	private final WireFormat format;
@@ -87,7 +91,7 @@
 
 	private final ActiveRequests activeRequests;
 
-	private volatile boolean refusingAll;
+	private volatile @Nullable DrainAdmission drainAdmission;
 
 	/**
 	 * Creates the server; it listens only after {@link #start()}.
@@ -140,16 +144,16 @@
 			refuse(exchange, head, RefusalReason.NO_CONFIGURATION, OptionalLong.of(NO_TABLE_RETRY_AFTER_MS));
 			return;
 		}
-		if (this.refusingAll) {
-			refuse(exchange, head, RefusalReason.ENTRY_DRAINING, OptionalLong.of(DRAINING_RETRY_AFTER_MS));
-			return;
-		}
 		RoutingTable table = index.get().table();
 		Optional<Route> route = index.get().find(exchange.getHostAndPort(), exchange.getRequestURI());
 		if (route.isEmpty()) {
 			refuse(exchange, head, RefusalReason.ROUTE_UNKNOWN, OptionalLong.empty());
 			return;
 		}
+		if (!acceptsWhileDraining(head, route.get(), arrivedAtMs)) {
+			refuse(exchange, head, RefusalReason.ENTRY_DRAINING, OptionalLong.of(DRAINING_RETRY_AFTER_MS));
+			return;
+		}
 		Optional<String> workspace = head.key().map(table.workspaceByKey()::get);
 		if (workspace.isEmpty() && !route.get().allowsAnonymous() && !table.workspaceByKey().isEmpty()) {
 			refuse(exchange, head, head.key().isEmpty() ? RefusalReason.KEY_MISSING : RefusalReason.KEY_UNKNOWN,
@@ -169,6 +173,12 @@
 					(failed, ex) -> onBodyFailed(failed, head, ex));
 	}
 
+	private boolean acceptsWhileDraining(RequestHead head, Route route, long nowMs) {
+		DrainAdmission admission = this.drainAdmission;
+		long timeoutAtMs = nowMs + Math.min(route.timeoutMs(), head.remainingMs().orElse(Long.MAX_VALUE));
+		return admission == null || admission.accepts(nowMs, timeoutAtMs, this.activeRequests.hasEarlierRequests());
+	}
+
 	private void onBodyFailed(HttpServerExchange exchange, RequestHead head, IOException cause) {
 		LOGGER.atInfo()
 			.addKeyValue("request_id", head.attemptId())
@@ -192,21 +202,22 @@
 
 	/**
 	 * Drains the server: waits for the active requests to finish. Each open connection is
-	 * closed with the response to its next request. Requests that arrive after a while
-	 * are refused, so that all requests end in time.
-	 * @param acceptMs time during which new requests on open connections are still
-	 * accepted, in ms
+	 * closed with the response to its next request. Later, requests are accepted only
+	 * while others are waited for, and only if they will end in time.
+	 * @param acceptMs time during which all new requests are still accepted, in ms
 	 * @param maxDurationMs time from now after which the method returns even if requests
 	 * are still active, in ms
 	 * @throws InterruptedException if the thread is interrupted
 	 */
 	public void drain(long acceptMs, long maxDurationMs) throws InterruptedException {
-		this.activeRequests.startDraining();
 		long startMs = this.clock.nowMs();
+		DrainAdmission admission = new DrainAdmission(startMs + acceptMs, startMs + maxDurationMs);
+		this.drainAdmission = admission;
+		this.activeRequests.startDraining();
 		TimeUnit.MILLISECONDS.sleep(acceptMs);
-		this.refusingAll = true;
-		while (this.activeRequests.count() > 0 && this.clock.nowMs() - startMs < maxDurationMs) {
-			TimeUnit.MILLISECONDS.sleep(10);
+		this.activeRequests.startLatePhase();
+		while (!admission.mayEnd(this.clock.nowMs(), this.activeRequests.count())) {
+			TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_INTERVAL_MS);
 		}
 		LOGGER.info("Drained in {} ms with {} requests left", this.clock.nowMs() - startMs,
 				this.activeRequests.count());
