Do not hold the gateway's own delay against its servers

Cause: what a gateway infers from time passed counts the time in which its own thread could not read responses. With passes of 0.6 to 1.3 s over the pending connections, every engine with a pending prompt was stalled (130 ms), every server in use was silent (400 ms), connections that were open were given up after 250 ms (15 to 61 retries within one millisecond, with a backoff for the server), and windows and limits shrank. The same class of fault: a time-out at an observer that does not know that it was late itself.

Change: the delays that the traffic thread measures of itself are taken from those times. The time-out of a connection whose timer is late lets the thread read first. Left as they are: time-outs of calls to the store and of load reports (700 ms and more); they only delay a poll.

Test: ownDelayOfTheGatewayIsNotHeldAgainstItsServers.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -60,6 +60,9 @@
 	 */
 	private static final long CONNECT_TIMEOUT_MS = 250;
 
+	/** A timer that fires later than this shows that its thread was busy. */
+	private static final long MAX_TIMER_DELAY_MS = 20;
+
 	/** Interval of the checks of calls in progress for heads without end. */
 	private static final long OVERHEAD_CHECK_INTERVAL_MS = 50;
 
@@ -144,7 +147,8 @@
 	}
 
 	private void connect(HttpCall call, XnioIoThread thread, ClientCall running) {
-		XnioExecutor.Key timeout = thread.executeAfter(() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS),
+		long timeoutAtMs = MonotonicClock.SYSTEM.nowMs() + CONNECT_TIMEOUT_MS;
+		XnioExecutor.Key timeout = thread.executeAfter(() -> onConnectTimeout(thread, running, timeoutAtMs),
 				CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
 		UndertowClient.getInstance().connect(new ClientCallback<>() {
 
@@ -169,6 +173,18 @@
 					.getMap());
 	}
 
+	// If the timer is late, the thread was busy and may not have seen yet that the
+	// connection is open.
+	private static void onConnectTimeout(XnioIoThread thread, ClientCall running, long timeoutAtMs) {
+		long lateMs = MonotonicClock.SYSTEM.nowMs() - timeoutAtMs;
+		if (lateMs <= MAX_TIMER_DELAY_MS) {
+			running.onConnectTimeout(CONNECT_TIMEOUT_MS);
+			return;
+		}
+		thread.executeAfter(() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS + lateMs), MAX_TIMER_DELAY_MS,
+				TimeUnit.MILLISECONDS);
+	}
+
 	void onStarted(ClientCall call) {
 		this.runningCalls.add(call);
 		scheduleCheck();
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -163,7 +163,7 @@
 		this.context = new ControlContext(this.control, this.clock, this.meters);
 		this.roleController = new RoleController(this.dutyMembership, settings.process(), this.adapter.engineControl(),
 				() -> this.serversInUse, this.context);
-		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters);
+		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
 						this.adapter.engineControl(), this.meters, runCounter, this.clock, thread, random),
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -58,6 +58,15 @@
 		return existing;
 	}
 
+	/**
+	 * Records that responses of servers could not be read for a while, because the
+	 * traffic thread was busy.
+	 * @param delayMs duration of that time
+	 */
+	public void onObserverDelay(long delayMs) {
+		this.trackedById.values().forEach((tracked) -> tracked.onObserverDelay(delayMs));
+	}
+
 	/**
 	 * Returns the servers of a service that take new requests.
 	 * @param service name of the service
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -53,6 +53,10 @@
 
 	private final long sentAtMs;
 
+	private final long observerDelayAtStartMs;
+
+	private long observerDelayAtEventMs;
+
 	private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream(0);
 
 	private @Nullable RunningCall call;
@@ -80,6 +84,7 @@
 		this.uncachedTokens = uncachedTokens;
 		this.step = step;
 		this.sentAtMs = dispatcher.nowMs();
+		this.observerDelayAtStartMs = trackedServer.observerDelayMs();
 	}
 
 	void start() {
@@ -132,6 +137,15 @@
 		return this.dispatcher.nowMs() - this.sentAtMs;
 	}
 
+	/**
+	 * Returns how long the server has taken so far.
+	 * @return milliseconds, without the time for which this gateway could not read the
+	 * response
+	 */
+	private long serverTimeMs() {
+		return Math.max(0, elapsedMs() - (this.trackedServer.observerDelayMs() - this.observerDelayAtStartMs));
+	}
+
 	void pause() {
 		if (this.call != null && !this.ended) {
 			this.call.pause();
@@ -268,11 +282,12 @@
 	 */
 	void onFirstResult() {
 		long nowMs = this.dispatcher.nowMs();
-		this.trackedServer.health().onResponse(elapsedMs());
+		this.trackedServer.health().onResponse(serverTimeMs());
+		this.observerDelayAtEventMs = this.trackedServer.observerDelayMs();
 		this.request.input().head().prompt().ifPresent((prompt) -> {
 			this.trackedServer.onPromptPrefilled(prompt.sharedParts());
 			promptAttempt().trackedServer.window()
-				.onFirstEvent(promptAttempt().uncachedTokens, promptAttempt().elapsedMs(),
+				.onFirstEvent(promptAttempt().uncachedTokens, promptAttempt().serverTimeMs(),
 						this.request.input().route().targetMs(), nowMs);
 		});
 		countRun(nowMs);
@@ -287,8 +302,10 @@
 	void onPause(long pauseMs) {
 		long nowMs = this.dispatcher.nowMs();
 		int slots = this.trackedServer.server().slots();
+		long observerDelayMs = this.trackedServer.observerDelayMs() - this.observerDelayAtEventMs;
+		this.observerDelayAtEventMs = this.trackedServer.observerDelayMs();
 		this.trackedServer.generationLimit()
-			.onPause(pauseMs, this.request.input().route().pauseTargetMs(),
+			.onPause(Math.max(0, pauseMs - observerDelayMs), this.request.input().route().pauseTargetMs(),
 					this.trackedServer.occupancy(nowMs, EnginePlacer.MAX_RUNNING_AGE_MS), slots, nowMs);
 	}
 
@@ -342,7 +359,7 @@
 			return;
 		}
 		PromptShape prompt = this.request.input().head().prompt().orElseThrow();
-		this.trackedServer.health().onResponse(elapsedMs());
+		this.trackedServer.health().onResponse(serverTimeMs());
 		this.trackedServer.onPromptPrefilled(prompt.sharedParts());
 		end();
 		this.dispatcher.format()
--- a/gateway/src/main/java/io/anvilusher/gateway/request/TrafficLagMonitor.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/TrafficLagMonitor.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.request;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -19,6 +20,9 @@
 
 	private static final long INTERVAL_MS = 50;
 
+	/** Shorter delays are within the precision of the timer. */
+	private static final long MIN_LAG_MS = 10;
+
 	/** A delay is logged from this length on. */
 	private static final long LOGGED_LAG_MS = 200;
 
@@ -29,6 +33,8 @@
 
 	private final MonotonicClock clock;
 
+	private final LongConsumer onLag;
+
 	private volatile long lagMs;
 
 	private long dueAtMs;
@@ -42,10 +48,12 @@
 	 * @param thread the traffic thread
 	 * @param clock the monotonic clock
 	 * @param meters meters in which the lag is published as a gauge
+	 * @param onLag called on the traffic thread with each delay that was measured, in ms
 	 */
-	public TrafficLagMonitor(XnioIoThread thread, MonotonicClock clock, Meters meters) {
+	public TrafficLagMonitor(XnioIoThread thread, MonotonicClock clock, Meters meters, LongConsumer onLag) {
 		this.thread = thread;
 		this.clock = clock;
+		this.onLag = onLag;
 		meters.gauge("anvilusher.traffic.lag.ms", this, TrafficLagMonitor::lagMs);
 	}
 
@@ -64,6 +72,9 @@
 	private void measure() {
 		long nowMs = this.clock.nowMs();
 		this.lagMs = Math.max(0, nowMs - this.dueAtMs);
+		if (this.lagMs >= MIN_LAG_MS) {
+			this.onLag.accept(this.lagMs);
+		}
 		this.longestLagMs = Math.max(this.longestLagMs, this.lagMs);
 		if (this.longestLagMs >= LOGGED_LAG_MS && nowMs >= this.nextLogAtMs) {
 			this.nextLogAtMs = nowMs + LOG_INTERVAL_MS;
@@ -77,10 +88,14 @@
 	}
 
 	/**
-	 * Returns the newest measured delay.
-	 * @return milliseconds by which the last task ran too late
+	 * Returns how late the traffic thread is now. Called on that thread.
+	 * @return milliseconds by which its next task is overdue; 0 if it is not due yet
 	 */
-	public long lagMs() {
+	public long currentLagMs() {
+		return (this.dueAtMs > 0) ? Math.max(0, this.clock.nowMs() - this.dueAtMs) : 0;
+	}
+
+	private double lagMs() {
 		return this.lagMs;
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -111,6 +111,14 @@
 		this.lastProgressMs = nowMs;
 	}
 
+	/**
+	 * Records that responses could not be read for a while.
+	 * @param delayMs duration of that time
+	 */
+	public void onObserverDelay(long delayMs) {
+		this.lastProgressMs += delayMs;
+	}
+
 	/**
 	 * Adapts the limit to the latency of a first event.
 	 * @param tokens tokens that the engine had to prefill
--- a/logic/src/main/java/io/anvilusher/logic/placement/ServerHealth.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ServerHealth.java
@@ -64,6 +64,15 @@
 		this.consecutiveConnectionFailures = 0;
 	}
 
+	/**
+	 * Records that responses could not be read for a while.
+	 * @param delayMs duration of that time
+	 */
+	public void onObserverDelay(long delayMs) {
+		this.pendingSinceMs += delayMs;
+		this.lastSeenMs += delayMs;
+	}
+
 	/**
 	 * Records that a request is no longer in progress, whatever its outcome.
 	 */
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -40,6 +40,8 @@
 
 	private final GenerationLimit generationLimit = new GenerationLimit();
 
+	private long observerDelayMs;
+
 	private int inFlight;
 
 	private int reportedRunning;
@@ -214,6 +216,26 @@
 		return this.inFlight;
 	}
 
+	/**
+	 * Records that the gateway could not read responses for a while. Silence during that
+	 * time is not held against the server.
+	 * @param delayMs duration of that time
+	 */
+	public void onObserverDelay(long delayMs) {
+		this.observerDelayMs += delayMs;
+		this.health.onObserverDelay(delayMs);
+		this.window.onObserverDelay(delayMs);
+	}
+
+	/**
+	 * Returns for how long the gateway could not read responses since the server is
+	 * known. The difference of two values is no delay of the server.
+	 * @return milliseconds
+	 */
+	public long observerDelayMs() {
+		return this.observerDelayMs;
+	}
+
 	/**
 	 * Returns whether the server only prefills prompts, for other engines to decode.
 	 * @return whether its role is {@link EngineRole#PREFILL}
--- a/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
@@ -105,4 +105,20 @@
 		assertEquals(used.size(), 4);
 	}
 
+	/** Guards against a busy gateway that takes its own delay for servers that hang. */
+	@Test
+	public void ownDelayOfTheGatewayIsNotHeldAgainstItsServers() {
+		TrackedServer engine = decodeEngines(1).get(0);
+		engine.onSent(0);
+		engine.window().onSent(9_000, 0);
+		assertTrue(engine.window().isStalled(TARGET_MS, 1_000));
+		assertTrue(engine.health().isUnhealthy(1_000));
+		engine.onObserverDelay(950);
+		assertFalse(engine.window().isStalled(TARGET_MS, 1_000));
+		assertFalse(engine.health().isUnhealthy(1_000));
+		assertEquals(engine.observerDelayMs(), 950);
+		assertTrue(engine.window().isStalled(TARGET_MS, 2_000));
+		assertTrue(engine.health().isUnhealthy(2_000));
+	}
+
 }
