Refuse requests at once while the traffic thread lags

Callers of the one gateway that was up during restarts in turn got nothing for 4 to 8 s: it read, placed and refused 500 to 750 requests a second after 1 to 3 s each, most of them for callers that had gone.

Change: LagAdmission. A request that is read while the thread is 100 ms late or more is refused before anything else is done for it, with the lag as the measure of its Retry-After. The lag grows during one pass over the pending connections, so the first of each pass are served.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -169,7 +169,7 @@
 						this.adapter.engineControl(), this.meters, runCounter, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
-				dispatcher, this.routes::get, this.clock, this.meters, random);
+				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
@@ -28,6 +29,7 @@
 import io.anvilusher.gateway.wire.RequestHead;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.admission.DrainAdmission;
+import io.anvilusher.logic.admission.LagAdmission;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.model.request.RefusalReason;
 import io.anvilusher.model.routing.Route;
@@ -89,6 +91,8 @@
 
 	private final RandomGenerator random;
 
+	private final LongSupplier lagMs;
+
 	private final ActiveRequests activeRequests;
 
 	private volatile @Nullable DrainAdmission drainAdmission;
@@ -103,15 +107,18 @@
 	 * @param clock the monotonic clock
 	 * @param meters the metrics of this process
 	 * @param random selects a service by the weights of a route's traffic split
+	 * @param lagMs returns how late the traffic thread is now, in ms
 	 */
 	public GatewayHttpServer(InetSocketAddress address, XnioWorker worker, WireFormat format, Dispatcher dispatcher,
-			Supplier<Optional<RouteIndex>> routes, MonotonicClock clock, Meters meters, RandomGenerator random) {
+			Supplier<Optional<RouteIndex>> routes, MonotonicClock clock, Meters meters, RandomGenerator random,
+			LongSupplier lagMs) {
 		this.format = format;
 		this.dispatcher = dispatcher;
 		this.routes = routes;
 		this.clock = clock;
 		this.meters = meters;
 		this.random = random;
+		this.lagMs = lagMs;
 		this.activeRequests = new ActiveRequests(meters);
 		this.undertow = CallerServers
 			.builder(address,
@@ -144,6 +151,12 @@
 			refuse(exchange, head, RefusalReason.NO_CONFIGURATION, OptionalLong.of(NO_TABLE_RETRY_AFTER_MS));
 			return;
 		}
+		long currentLagMs = this.lagMs.getAsLong();
+		if (!LagAdmission.accepts(currentLagMs)) {
+			refuse(exchange, head, RefusalReason.GATEWAY_OVERLOADED,
+					OptionalLong.of(LagAdmission.retryAfterMs(currentLagMs, this.random.nextDouble())));
+			return;
+		}
 		RoutingTable table = index.get().table();
 		Optional<Route> route = index.get().find(exchange.getHostAndPort(), exchange.getRequestURI());
 		if (route.isEmpty()) {
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -83,6 +83,9 @@
 	/** The entry is shutting down and accepts no new requests. */
 	ENTRY_DRAINING(503, true),
 
+	/** The gateway has less processor time than requests. */
+	GATEWAY_OVERLOADED(503, true),
+
 	/** The entry has no configuration yet. */
 	NO_CONFIGURATION(503, true),
 
