Read no request any more when a gateway has drained

A caller could lose a request without a response at the very end of a stop: after the drain a gateway still wrote usage counts and left the duty group, with calls to the store that may take seconds, and read and refused requests all the while; the process then ended in the midst of a pass over its connections. With a thread that lags, a pass lasts up to a second, and all requests that it had read and not yet answered were lost with it.

Change: the last step of a stop holds the traffic thread between two passes, so what was read has been answered, and what was not read can be sent again by the caller.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -90,6 +91,9 @@
 	 */
 	private static final long SHUTDOWN_CALLS_MS = 100;
 
+	/** Longest wait for the traffic thread to finish what it has read. */
+	private static final long LAST_PASS_MS = 500;
+
 	private final GatewaySettings settings;
 
 	private final DeploymentAdapter adapter;
@@ -243,7 +247,7 @@
 	/**
 	 * Shuts down gracefully: reports not ready, finishes the active requests, writes the
 	 * last usage counts and gives up the duties. Blocks until then, or until most of the
-	 * grace period has passed.
+	 * grace period has passed. No request is read any more when it returns.
 	 */
 	public void drain() {
 		this.draining = true;
@@ -267,6 +271,37 @@
 			Thread.currentThread().interrupt();
 			LOGGER.warn("Shutdown: interrupted while draining; exiting now");
 		}
+		stopTraffic();
+	}
+
+	// Holds the traffic thread after it has responded to the requests that it refuses.
+	// Otherwise, a request could be read and lose its response when the process ends.
+	private void stopTraffic() {
+		CountDownLatch stopped = new CountDownLatch(1);
+		CountDownLatch processEnd = new CountDownLatch(1);
+		this.worker.getIoThread().execute(() -> {
+			stopped.countDown();
+			awaitUninterrupted(processEnd);
+		});
+		try {
+			if (!stopped.await(LAST_PASS_MS, TimeUnit.MILLISECONDS)) {
+				LOGGER.warn("Shutdown: the traffic thread was busy for {} ms; requests that it has read may get no "
+						+ "response", LAST_PASS_MS);
+			}
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			LOGGER.warn("Shutdown: interrupted while the traffic thread finished; exiting now");
+		}
+	}
+
+	private static void awaitUninterrupted(CountDownLatch latch) {
+		try {
+			latch.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
 	private void applyServers() {
