Accept long requests for half a second less after SIGTERM

A stream that a gateway accepts late after SIGTERM may be cut when the process ends. The 3 s for which all requests are accepted were counted from the moment at which the process handles the signal, so on a busy process, longer than 3 s from the signal.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -74,10 +74,10 @@
 	private static final long TABLE_DELAY_MS = 50;
 
 	/**
-	 * Time after SIGTERM during which new requests on open connections are still
-	 * accepted.
+	 * Time after SIGTERM during which all new requests on open connections are still
+	 * accepted. Callers count on 3 s from the signal, and a busy process handles it late.
 	 */
-	private static final long DRAIN_ACCEPT_MS = 3_000;
+	private static final long DRAIN_ACCEPT_MS = 2_500;
 
 	/**
 	 * Fraction of the grace period (SIGTERM to SIGKILL) after which the process exits in
