Trust a refusal only if it has the id of the request

Callers were answered 503 "not run" for requests that a server had run or was running, or such a request ran at a second server. Cause: a response with Not-Executed but without Attempt-Id counted as the refusal of the request in progress. A server that sends an earlier refusal once more on a kept connection answers the next request with it. With one server "HTTP/1.1 503 Service Unavailable" after a repeated 503, 429, 400 or 421 without id; with two servers "HTTP/1.1 200 OK" from the second one. A request without an Attempt-Id was sent on an idle connection ("an idle connection was used expected [false] but found [true]"). Refusals with another id, 421 without Not-Executed, and bytes that arrive on an idle connection were handled correctly before. Change: the id must match. Requests without an id, which have nothing to match, get a connection of their own.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/HttpCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/HttpCall.java
@@ -14,7 +14,8 @@
  * @param headers headers; Content-Length and a missing Host header are added
  * @param body body; empty if there is none
  * @param newConnection whether to open a new connection instead of reusing an idle one,
- * so that a refused connection proves that nothing was sent
+ * so that a refused connection proves that nothing was sent, and so that no response of
+ * an earlier call can arrive
  */
 public record HttpCall(String method, URI target, String path, List<HttpHeader> headers, byte[] body,
 		boolean newConnection) {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -93,7 +93,7 @@
 			.forwardedHeaders(input.exchange().getRequestHeaders(), info);
 		HttpCall httpCall = new HttpCall(input.exchange().getRequestMethod().toString(),
 				URI.create("http://" + this.trackedServer.server().address()), input.path(), headers, input.body(),
-				false);
+				input.head().attemptId().isEmpty());
 		this.call = this.dispatcher.client().start(httpCall, this);
 	}
 
@@ -168,8 +168,9 @@
 		long nowMs = this.dispatcher.nowMs();
 		ResponseHead response = this.dispatcher.format().readResponseHead(status, headers);
 		this.head = response;
-		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId())
-				|| (response.attemptId().isEmpty() && response.notRun());
+		// A response with another id, or none, may be a late copy of the response to an
+		// earlier request. It proves nothing about this one, even if it is a refusal.
+		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId());
 		if (!matchesRequest || response.encoded()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
 			return;
