Continue a stream only with a stream

Callers whose stream had begun and broke off got no end of it if the next server answered with an error, or found other text in the middle of it; a 204 or an empty response ended it as if it were complete. Cause: the response of the second server was delivered like a first one. An error could not be sent any more and the request counted as answered, without timeout; any 2xx was read as events, whatever its status and type. Evidence, before the change: breaksOffAStreamThatTheNextServerDoesNotContinue failed after 500, 400, 404 and 302 ("SocketTimeout Read timed out", "HTTP/1.1 200 OK" without end after 8 s) and after 204, 206, a JSON body, a body without type, and a head that the server closed before the first event ("HTTP/1.1 200 OK" with a last chunk). A server's own 503, an unsigned response and a refusal without id broke it off before, too. Change: once events were sent, a response must have the status and media type of the first one. A stream that has neither length nor chunks and no event is incomplete. Otherwise the attempt has failed: the stream goes on at a further server if the route allows it, or the connection is closed before the last chunk.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -63,6 +63,8 @@
 
 	private @Nullable ResponseHead streamHead;
 
+	private int eventsBeforeAttempt;
+
 	private Optional<KvStep.Fetch> unfetchedKvCache = Optional.empty();
 
 	private Runnable cancelTimeout = () -> {
@@ -343,8 +345,19 @@
 		}
 	}
 
+	/**
+	 * Returns whether a response can still be passed on. Once events of a stream were
+	 * sent, only a stream can follow.
+	 * @param head head of the response
+	 * @return whether its status and body can be sent to the caller
+	 */
+	boolean canDeliver(ResponseHead head) {
+		return !this.streamStarted || head.continues(this.streamHead);
+	}
+
 	void onStreamHead(ServerAttempt attempt, ResponseHead head) {
 		this.streamAttempt = attempt;
+		this.eventsBeforeAttempt = this.eventSplitter.events();
 		this.streamHead = (this.streamHead != null) ? this.streamHead : head;
 		this.unfetchedKvCache = Optional.empty();
 	}
@@ -400,7 +413,8 @@
 		if (this.done) {
 			return;
 		}
-		if (this.eventSplitter.hasPartialEvent() || !this.streamStarted) {
+		boolean empty = this.eventSplitter.events() == this.eventsBeforeAttempt;
+		if (this.eventSplitter.hasPartialEvent() || !this.streamStarted || (empty && !attempt.isFramed())) {
 			onFailed(attempt, AttemptFailure.ANSWER_CUT);
 			return;
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -59,6 +59,8 @@
 
 	private @Nullable ResponseHead head;
 
+	private boolean framed;
+
 	private boolean sendStarted;
 
 	private boolean promptReleased;
@@ -128,6 +130,15 @@
 		return this.sendStarted && !(this.step instanceof KvStep.Prefill);
 	}
 
+	/**
+	 * Returns whether the response has a length or chunks, so that its end is known even
+	 * if it has no body.
+	 * @return false if the response ends with its connection
+	 */
+	boolean isFramed() {
+		return this.framed;
+	}
+
 	long elapsedMs() {
 		return this.dispatcher.nowMs() - this.sentAtMs;
 	}
@@ -161,13 +172,14 @@
 	}
 
 	@Override
-	public void onHead(int status, List<HttpHeader> headers, boolean framed) {
+	public void onHead(int status, List<HttpHeader> headers, boolean responseFramed) {
 		if (this.ignored) {
 			return;
 		}
 		long nowMs = this.dispatcher.nowMs();
 		ResponseHead response = this.dispatcher.format().readResponseHead(status, headers);
 		this.head = response;
+		this.framed = responseFramed;
 		// A response with another id, or none, may be a late copy of the response to an
 		// earlier request. It proves nothing about this one, even if it is a refusal.
 		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId());
@@ -184,6 +196,14 @@
 		if (this.step instanceof KvStep.Prefill) {
 			return;
 		}
+		if (!this.request.canDeliver(response)) {
+			countRun(nowMs);
+			if (status >= FIRST_SERVER_ERROR) {
+				this.trackedServer.health().onFailed();
+			}
+			fail(AttemptFailure.SERVER_CRASHED, response.isSuccess());
+			return;
+		}
 		if (status >= FIRST_SERVER_ERROR) {
 			countRun(nowMs);
 			this.trackedServer.health().onFailed();
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.wire;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 
 import io.anvilusher.model.request.HttpHeader;
@@ -32,6 +33,24 @@
 		return this.status >= 200 && this.status < 300;
 	}
 
+	/**
+	 * Returns whether another server's response can be continued with the body of this
+	 * one.
+	 * @param begun the response whose body is incomplete
+	 * @return whether both have the same status and media type
+	 */
+	public boolean continues(ResponseHead begun) {
+		return this.status == begun.status && mediaType().equals(begun.mediaType());
+	}
+
+	private String mediaType() {
+		return this.callerHeaders.stream()
+			.filter((header) -> header.name().equalsIgnoreCase("Content-Type"))
+			.map((header) -> header.value().split(";", 2)[0].trim().toLowerCase(Locale.ROOT))
+			.findFirst()
+			.orElse("");
+	}
+
 	/**
 	 * The load that a server reports.
 	 *
