Stop a stream before an event that is out of order

Callers got events twice, or other text in the middle of their stream, when the server that should continue it started again at its first event, repeated the last one, or sent an error as the body of a stream. Cause: ids of events were read only to tell the next server where to go on; they were not checked. Change: ids must increase, and the first event of another server must have one if earlier events had. Events without ids, and comments, are accepted as before. The events up to there are sent; the attempt has failed, so the stream goes on at a further server or is broken off.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -376,9 +376,15 @@
 		}
 		boolean first = this.eventSplitter.events() == 0;
 		byte[] completeEvents = this.eventSplitter.add(data);
-		if (completeEvents.length == 0) {
-			return;
+		if (completeEvents.length > 0) {
+			forwardEvents(attempt, completeEvents, first);
+		}
+		if (this.eventSplitter.isOutOfOrder()) {
+			attempt.failBroken();
 		}
+	}
+
+	private void forwardEvents(ServerAttempt attempt, byte[] completeEvents, boolean first) {
 		long nowMs = this.dispatcher.nowMs();
 		if (first) {
 			this.firstResultMs = nowMs - this.input.arrivedAtMs();
--- a/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
+++ b/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
@@ -24,6 +24,12 @@
 
 	private OptionalLong pendingId = OptionalLong.empty();
 
+	private boolean hasFields;
+
+	private boolean idRequired;
+
+	private boolean outOfOrder;
+
 	private int eventCount;
 
 	/**
@@ -39,7 +45,8 @@
 	/**
 	 * Adds data from the stream.
 	 * @param data the next bytes of the stream
-	 * @return all events that are complete now; empty if none is
+	 * @return all events that are complete now; empty if none is. They end before the
+	 * first event that is out of order
 	 * @throws IllegalStateException if the data is not {@linkplain #accepts accepted}
 	 */
 	public byte[] add(ByteBuffer data) {
@@ -58,19 +65,26 @@
 	private byte[] takeCompleteEvents() {
 		int eventStart = 0;
 		int lineStart = 0;
-		for (int index = 0; index < this.bufferedBytes; index++) {
+		this.hasFields = false;
+		for (int index = 0; index < this.bufferedBytes && !this.outOfOrder; index++) {
 			if (this.buffer[index] != '\n') {
 				continue;
 			}
 			int lineEnd = (index > lineStart && this.buffer[index - 1] == '\r') ? index - 1 : index;
-			if (lineEnd == lineStart) {
+			if (lineEnd != lineStart) {
+				this.hasFields |= this.buffer[lineStart] != ':';
+				readId(lineStart, lineEnd);
+			}
+			else if (continuesStream()) {
 				this.eventCount++;
+				this.idRequired &= !this.hasFields;
 				this.lastId = this.pendingId.isPresent() ? this.pendingId : this.lastId;
 				this.pendingId = OptionalLong.empty();
+				this.hasFields = false;
 				eventStart = index + 1;
 			}
 			else {
-				readId(lineStart, lineEnd);
+				this.outOfOrder = true;
 			}
 			lineStart = index + 1;
 		}
@@ -80,6 +94,13 @@
 		return complete;
 	}
 
+	private boolean continuesStream() {
+		if (this.pendingId.isEmpty()) {
+			return !(this.idRequired && this.hasFields);
+		}
+		return this.lastId.isEmpty() || this.pendingId.getAsLong() > this.lastId.getAsLong();
+	}
+
 	private void readId(int start, int end) {
 		if (end - start <= ID_FIELD.length
 				|| !Arrays.equals(this.buffer, start, start + ID_FIELD.length, ID_FIELD, 0, ID_FIELD.length)) {
@@ -102,11 +123,23 @@
 		return this.bufferedBytes > 0;
 	}
 
+	/**
+	 * Returns whether the stream repeats an event or does not continue where the previous
+	 * server stopped. Its further data is ignored.
+	 * @return whether the id of an event is not larger than the one before, or the first
+	 * event of another server has no id although earlier events have one
+	 */
+	public boolean isOutOfOrder() {
+		return this.outOfOrder;
+	}
+
 	/**
 	 * Discards an incomplete event. Called before another server resumes the stream after
 	 * the last complete event.
 	 */
 	public void dropPartialEvent() {
+		this.idRequired = this.lastId.isPresent();
+		this.outOfOrder = false;
 		this.bufferedBytes = 0;
 		this.pendingId = OptionalLong.empty();
 	}
--- a/logic/src/test/java/io/anvilusher/logic/request/EventSplitterTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/request/EventSplitterTests.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -50,4 +51,47 @@
 		assertEquals(this.splitter.events(), 2);
 	}
 
+	@DataProvider
+	public Object[][] streamsThatRepeatAnEvent() {
+		return new Object[][] { { "id: 2\ndata: b\n\n" }, { "id: 1\ndata: a\n\n" } };
+	}
+
+	@Test(dataProvider = "streamsThatRepeatAnEvent")
+	public void stopsBeforeARepeatedEvent(String repeated) {
+		EventSplitter eventSplitter = new EventSplitter();
+		String start = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+		byte[] events = eventSplitter
+			.add(ByteBuffer.wrap((start + repeated + "id: 3\ndata: c\n\n").getBytes(StandardCharsets.UTF_8)));
+		assertEquals(new String(events, StandardCharsets.UTF_8), start);
+		assertTrue(eventSplitter.isOutOfOrder());
+		assertEquals(eventSplitter.events(), 2);
+		assertEquals(eventSplitter.add(ByteBuffer.wrap("id: 4\n\n".getBytes(StandardCharsets.UTF_8))).length, 0);
+	}
+
+	@DataProvider
+	public Object[][] resumedStreams() {
+		return new Object[][] { { "id: 3\ndata: c\n\n", true }, { "id: 9\ndata: c\n\n", true },
+				{ ": comment\n\nid: 3\ndata: c\n\n", true }, { "id: 3\ndata: c\n\ndata: end\n\n", true },
+				{ "id: 2\ndata: b\n\n", false }, { "id: 1\ndata: a\n\n", false }, { "no such run\n\n", false },
+				{ "data: error\n\nid: 3\ndata: c\n\n", false } };
+	}
+
+	@Test(dataProvider = "resumedStreams")
+	public void resumesOnlyAfterTheLastEvent(String resumed, boolean inOrder) {
+		EventSplitter eventSplitter = new EventSplitter();
+		eventSplitter.add(ByteBuffer.wrap("id: 2\ndata: b\n\nid: 3".getBytes(StandardCharsets.UTF_8)));
+		eventSplitter.dropPartialEvent();
+		byte[] events = eventSplitter.add(ByteBuffer.wrap(resumed.getBytes(StandardCharsets.UTF_8)));
+		assertEquals(eventSplitter.isOutOfOrder(), !inOrder);
+		assertEquals(new String(events, StandardCharsets.UTF_8), inOrder ? resumed : "");
+	}
+
+	@Test
+	public void streamWithoutIdsIsInOrder() {
+		EventSplitter eventSplitter = new EventSplitter();
+		eventSplitter.add(ByteBuffer.wrap("data: a\n\ndata: b\n\n".getBytes(StandardCharsets.UTF_8)));
+		assertFalse(eventSplitter.isOutOfOrder());
+		assertEquals(eventSplitter.events(), 2);
+	}
+
 }
