Send a stream with the head of the server that makes it

Callers got the Response-Stamp of a server that had sent no event of their stream. Cause: the head of the first server was kept although the stream had not begun when that server failed. Evidence, before the change: streamThatHadNotBegunHasTheHeadOfTheServerThatSendsIt got "Response-Stamp: s" of the failed server with the events of the other one. Change: a head is kept from the first event on. Whether the server is paused is forgotten with the attempt, too: the next server was not paused again while the caller was slow. No test shows the latter. Result: ResumedStreamTests and GatewayPathTests pass.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -275,6 +275,8 @@
 			.addKeyValue("after_ms", attempt.elapsedMs())
 			.log("Attempt failed; the request is sent again");
 		this.streamAttempt = null;
+		this.streamHead = this.streamStarted ? this.streamHead : null;
+		this.serverPaused = false;
 		this.eventSplitter.dropPartialEvent();
 		if (failure != AttemptFailure.SERVER_UNREACHABLE || !fetchOnOtherServer(attempt)) {
 			placeOrEnqueue();
