--- a/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
@@ -1,11 +1,17 @@
 package io.anvilusher.adapters.http;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -48,6 +54,93 @@
 		assertEquals(events.list.stream().map(ILoggingEvent::getFormattedMessage).toList(), List.of());
 	}
 
+	/** More than the socket buffers of both sides hold. */
+	private static final int LONG_BODY_BYTES = 32 * 1024 * 1024;
+
+	@Test
+	public void connectionOfAnEarlyResponseIsNotUsedAgain() throws Exception {
+		byte[] body = new byte[LONG_BODY_BYTES];
+		Arrays.fill(body, (byte) 'b');
+		try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+				StreamingHttpClient client = StreamingHttpClient.create("early", 1)) {
+			URI target = URI.create("http://127.0.0.1:" + server.getLocalPort());
+			BufferingHttpClient calls = new BufferingHttpClient(client);
+			CompletableFuture<HttpCallResponse> first = calls.call(HttpCall.of("POST", target, "/", body), 5_000);
+			try (Socket early = server.accept()) {
+				early.setSoTimeout(2_000);
+				readHead(early);
+				respond(early);
+				assertEquals(first.get(2, TimeUnit.SECONDS).status(), 200);
+				CompletableFuture<HttpCallResponse> second = calls.call(HttpCall.of("GET", target, "/", new byte[0]),
+						5_000);
+				try (Socket next = server.accept()) {
+					readHead(next);
+					respond(next);
+					assertEquals(second.get(2, TimeUnit.SECONDS).status(), 200);
+				}
+				assertEquals(countOtherBytes(early), 0);
+			}
+		}
+	}
+
+	@Test
+	public void connectionOfAResponseWithoutLengthIsNotUsedAgain() throws Exception {
+		try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+				StreamingHttpClient client = StreamingHttpClient.create("unframed", 1)) {
+			URI target = URI.create("http://127.0.0.1:" + server.getLocalPort());
+			BufferingHttpClient calls = new BufferingHttpClient(client);
+			for (int count = 0; count < 2; count++) {
+				CompletableFuture<HttpCallResponse> response = calls.call(HttpCall.of("GET", target, "/", new byte[0]),
+						5_000);
+				// The server ends the response but keeps reading.
+				try (Socket socket = server.accept()) {
+					socket.setSoTimeout(2_000);
+					readHead(socket);
+					socket.getOutputStream().write("HTTP/1.1 200 S\r\n\r\nok".getBytes(StandardCharsets.US_ASCII));
+					socket.shutdownOutput();
+					assertEquals(new String(response.get(2, TimeUnit.SECONDS).body(), StandardCharsets.US_ASCII), "ok");
+					assertEquals(countOtherBytes(socket), 0);
+				}
+			}
+		}
+	}
+
+	private static void readHead(Socket socket) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (!head.toString().endsWith("\r\n\r\n")) {
+			int next = socket.getInputStream().read();
+			if (next < 0) {
+				throw new EOFException("connection closed after \"" + head + "\"");
+			}
+			head.append((char) next);
+		}
+	}
+
+	private static void respond(Socket socket) throws IOException {
+		socket.getOutputStream()
+			.write("HTTP/1.1 200 S\r\nContent-Length: 2\r\n\r\nok".getBytes(StandardCharsets.US_ASCII));
+	}
+
+	/**
+	 * Reads until the client closes the connection; counts bytes other than the body's.
+	 */
+	private static int countOtherBytes(Socket socket) throws IOException {
+		byte[] buffer = new byte[64 * 1024];
+		int others = 0;
+		try {
+			for (int count = socket.getInputStream().read(buffer); count >= 0; count = socket.getInputStream()
+				.read(buffer)) {
+				for (int index = 0; index < count; index++) {
+					others += (buffer[index] != 'b') ? 1 : 0;
+				}
+			}
+		}
+		catch (SocketException ex) {
+			// The client reset the connection.
+		}
+		return others;
+	}
+
 	private static final class IgnoringListener implements HttpCallListener {
 
 		@Override
