--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -63,6 +63,8 @@
 
 	private @Nullable ResponseHead streamHead;
 
+	private int eventsBeforeAttempt;
+
 	private Optional<KvStep.Fetch> unfetchedKvCache = Optional.empty();
 
 	private Runnable cancelTimeout = () -> {
@@ -273,6 +275,8 @@
 			.addKeyValue("after_ms", attempt.elapsedMs())
 			.log("Attempt failed; the request is sent again");
 		this.streamAttempt = null;
+		this.streamHead = this.streamStarted ? this.streamHead : null;
+		this.serverPaused = false;
 		this.eventSplitter.dropPartialEvent();
 		if (failure != AttemptFailure.SERVER_UNREACHABLE || !fetchOnOtherServer(attempt)) {
 			placeOrEnqueue();
@@ -343,8 +347,19 @@
 		}
 	}
 
+	/**
+	 * Returns whether a response can still be passed on. Once events of a stream were
+	 * sent, only a stream can follow.
+	 * @param head head of the response
+	 * @return whether its status and body can be sent to the caller
+	 */
+	boolean canDeliver(ResponseHead head) {
+		return !this.streamStarted || head.continues(this.streamHead);
+	}
+
 	void onStreamHead(ServerAttempt attempt, ResponseHead head) {
 		this.streamAttempt = attempt;
+		this.eventsBeforeAttempt = this.eventSplitter.events();
 		this.streamHead = (this.streamHead != null) ? this.streamHead : head;
 		this.unfetchedKvCache = Optional.empty();
 	}
@@ -363,9 +378,15 @@
 		}
 		boolean first = this.eventSplitter.events() == 0;
 		byte[] completeEvents = this.eventSplitter.add(data);
-		if (completeEvents.length == 0) {
-			return;
+		if (completeEvents.length > 0) {
+			forwardEvents(attempt, completeEvents, first);
+		}
+		if (this.eventSplitter.isOutOfOrder()) {
+			attempt.failBroken();
 		}
+	}
+
+	private void forwardEvents(ServerAttempt attempt, byte[] completeEvents, boolean first) {
 		long nowMs = this.dispatcher.nowMs();
 		if (first) {
 			this.firstResultMs = nowMs - this.input.arrivedAtMs();
@@ -400,7 +421,8 @@
 		if (this.done) {
 			return;
 		}
-		if (this.eventSplitter.hasPartialEvent() || !this.streamStarted) {
+		boolean empty = this.eventSplitter.events() == this.eventsBeforeAttempt;
+		if (this.eventSplitter.hasPartialEvent() || !this.streamStarted || (empty && !attempt.isFramed())) {
 			onFailed(attempt, AttemptFailure.ANSWER_CUT);
 			return;
 		}
