Send nothing new to a server that announced that it is leaving

Callers: requests were still placed on a server whose responses carry Server-Leaving: 1, as long as its registration said ready; such a request can be cut when the server exits. Cause: the gateway did not read the header; only the store's state excluded a server. Evidence: LeavingServerTests on the code before, 13 of 17 fail, for example getsNothingAfterAnyResponseThatAnnouncesIt:59->assertNoServer:42 HTTP/1.1 200 OK kvCacheIsNotFetchedByAnEngineThatAnnouncesItMeanwhile:147 expected [0] but found [1] prefillResponseAnnouncesItAndItsKvCacheIsStillFetched:123 expected [1] but found [20] responsesOfTheControlInterfaceAnnounceIt:193 expected [0] but found [30] The other four guard against too much: a running stream, a response with another Attempt-Id, a 421 (another server sent it), a header of a caller. They pass before and after. The unit tests of ServerAvailability have no counterpart before. Change: the header is read from each head that belongs to the attempt (200, 5xx, 429, 503, streams, prefill) and from load reports and responses to orders. The mark belongs to the tracked incarnation of the server, also if its registration is lost and comes back; without a start time in the registration, one that comes back counts as a new start. ServerRegistry.servers filters. Ways of a request to a server: - whole requests, prefill steps, retries, queued requests (Dispatcher.place): filtered - fetch steps (isAccepting, placeDecode): filtered - load reports before a placement (enginesToProbe): filtered - polls and orders of the duty holder (RoleController): AvailableEngineControl holds them back; an order that was held back counts as rejected - DELETE that frees a KV cache: still sent, no caller's request and the engine still serves - a decode engine that fetches from a leaving prefill engine: the request goes to the decode engine If all servers of a service leave, requests are refused as no_server, as with draining ones.

--- a/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
@@ -72,10 +72,11 @@
 	DutyGroup dutyGroup();
 
 	/**
-	 * Returns the client of the model engines' control interface.
+	 * Creates the client of the model engines' control interface.
+	 * @param headListener receives the head of each response, on an I/O thread
 	 * @return the client
 	 */
-	EngineControlClient engineControl();
+	EngineControlClient engineControl(EngineControlClient.HeadListener headListener);
 
 	/**
 	 * Returns the client for usage reports.
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -29,12 +29,15 @@
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.control.AvailableEngineControl;
 import io.anvilusher.gateway.control.DutyMembership;
+import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.RoleController;
 import io.anvilusher.gateway.control.TableFollower;
 import io.anvilusher.gateway.control.TableFollower.ControlContext;
 import io.anvilusher.gateway.control.UsageCounter;
 import io.anvilusher.gateway.control.UsageReporter;
+import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
@@ -158,11 +161,15 @@
 					runCounter, new UsageReporter.Dependencies(this.adapter.usageLog(), reports), this.control,
 					this.clock, timeOfDayMs));
 		this.context = new ControlContext(this.control, this.clock, this.meters);
-		this.roleController = new RoleController(this.dutyMembership, settings.process(), this.adapter.engineControl(),
+		ServerAnnouncements announcements = new ServerAnnouncements(this.serverRegistry, this.meters);
+		EngineControlClient engineControl = this.adapter.engineControl(
+				(engine, head, path) -> thread.execute(() -> announcements.onControlHead(engine, head, path)));
+		this.roleController = new RoleController(this.dutyMembership, settings.process(),
+				new AvailableEngineControl(engineControl, this.serverRegistry::isAccepting, thread::execute),
 				() -> this.serversInUse, this.context);
 		Dispatcher dispatcher = new Dispatcher(
-				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
-						this.adapter.engineControl(), this.meters, runCounter, this.clock, thread, random),
+				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
+						this.meters, runCounter, announcements, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
 				dispatcher, this.routes::get, this.clock, this.meters, random);
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
@@ -0,0 +1,55 @@
+package io.anvilusher.gateway.control;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+import io.anvilusher.model.fleet.EngineRole;
+import io.anvilusher.model.fleet.RegisteredServer;
+
+/**
+ * Calls only engines that currently take requests, and holds back all other calls.
+ */
+public final class AvailableEngineControl implements EngineControlClient {
+
+	private final EngineControlClient delegate;
+
+	private final Predicate<RegisteredServer> accepting;
+
+	private final Executor trafficThread;
+
+	/**
+	 * Creates a client.
+	 * @param delegate makes the calls
+	 * @param accepting returns whether an engine takes requests; called on the traffic
+	 * thread
+	 * @param trafficThread runs tasks on the traffic thread
+	 */
+	public AvailableEngineControl(EngineControlClient delegate, Predicate<RegisteredServer> accepting,
+			Executor trafficThread) {
+		this.delegate = delegate;
+		this.accepting = accepting;
+		this.trafficThread = trafficThread;
+	}
+
+	@Override
+	public CompletableFuture<Optional<EngineReport>> report(RegisteredServer engine) {
+		return callIfAccepting(engine, () -> this.delegate.report(engine), Optional.empty());
+	}
+
+	@Override
+	public CompletableFuture<Outcome> changeRole(RegisteredServer engine, EngineRole role, OrderIssuer issuer,
+			long ordersBefore) {
+		return callIfAccepting(engine, () -> this.delegate.changeRole(engine, role, issuer, ordersBefore),
+				Outcome.HELD_BACK);
+	}
+
+	private <T> CompletableFuture<T> callIfAccepting(RegisteredServer engine, Supplier<CompletableFuture<T>> call,
+			T heldBack) {
+		return CompletableFuture.supplyAsync(() -> this.accepting.test(engine), this.trafficThread)
+			.thenCompose((accepts) -> accepts ? call.get() : CompletableFuture.completedFuture(heldBack));
+	}
+
+}
--- a/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
+import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.model.fleet.EngineRole;
 import io.anvilusher.model.fleet.RegisteredServer;
 
@@ -73,9 +74,28 @@
 		/** The engine refused the order for another reason. */
 		REFUSED,
 
+		/** The order was not sent, because the engine takes no requests. */
+		HELD_BACK,
+
 		/** It is unknown whether the engine received the order. */
 		UNKNOWN
 
 	}
 
+	/**
+	 * Receives the heads of the engines' responses.
+	 */
+	@FunctionalInterface
+	interface HeadListener {
+
+		/**
+		 * Called with each response.
+		 * @param engine the engine that was called
+		 * @param head head of the response
+		 * @param path path of the call
+		 */
+		void onHead(RegisteredServer engine, ResponseHead head, String path);
+
+	}
+
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/control/RoleController.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/RoleController.java
@@ -172,7 +172,7 @@
 			this.membership.onFenced(fencingToken);
 		}
 		if (outcome == EngineControlClient.Outcome.REFUSED || outcome == EngineControlClient.Outcome.CONFLICT
-				|| outcome == EngineControlClient.Outcome.FENCED) {
+				|| outcome == EngineControlClient.Outcome.FENCED || outcome == EngineControlClient.Outcome.HELD_BACK) {
 			this.pendingOrders.onRejected(target.engine().id());
 		}
 		if (outcome == EngineControlClient.Outcome.REFUSED) {
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
@@ -0,0 +1,71 @@
+package io.anvilusher.gateway.fleet;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.gateway.wire.ResponseHead;
+import io.anvilusher.logic.placement.TrackedServer;
+import io.anvilusher.model.fleet.RegisteredServer;
+
+/**
+ * Records what servers announce about themselves in the heads of their responses. Used
+ * from the traffic thread only.
+ */
+public final class ServerAnnouncements {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(ServerAnnouncements.class);
+
+	private static final int MISDIRECTED = 421;
+
+	private final ServerRegistry serverRegistry;
+
+	private final Meters meters;
+
+	/**
+	 * Creates an instance.
+	 * @param serverRegistry the servers
+	 * @param meters counts the announcements
+	 */
+	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters) {
+		this.serverRegistry = serverRegistry;
+		this.meters = meters;
+	}
+
+	/**
+	 * Records the announcements in a response. A response with status 421 (Misdirected
+	 * Request) is ignored, since another server sent it.
+	 * @param server the server that the request was sent to
+	 * @param head head of the response that belongs to the request
+	 * @param requestId identifier of the request, for the log
+	 */
+	public void onHead(TrackedServer server, ResponseHead head, String requestId) {
+		if (head.status() == MISDIRECTED) {
+			return;
+		}
+		if (head.leaving() && server.availability().onLeaving()) {
+			this.meters.counter("anvilusher.servers.leaving", "service", server.server().service()).increment();
+			LOGGER.atInfo()
+				.addKeyValue("server", server.server().id())
+				.addKeyValue("service", server.server().service())
+				.addKeyValue("request_id", requestId)
+				.log("Server announced that it is leaving; it gets no new requests");
+		}
+	}
+
+	/**
+	 * Records the announcements in a response to a call of the control interface.
+	 * Responses that carry the identifier of a caller's request belong to another call
+	 * and are ignored.
+	 * @param engine registration of the engine that was called; ignored if it has been
+	 * restarted since
+	 * @param head head of the response
+	 * @param call name of the call, for the log
+	 */
+	public void onControlHead(RegisteredServer engine, ResponseHead head, String call) {
+		if (head.attemptId().isEmpty()) {
+			this.serverRegistry.tracked(engine).ifPresent((server) -> onHead(server, head, call));
+		}
+	}
+
+}
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -1,8 +1,10 @@
 package io.anvilusher.gateway.fleet;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
@@ -19,13 +21,29 @@
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(ServerRegistry.class);
 
+	/**
+	 * Maximum of servers that are remembered after their registration was removed: those
+	 * of a large fleet.
+	 */
+	private static final int MAX_GONE_SERVERS = 4_096;
+
 	private Map<String, TrackedServer> trackedById = Map.of();
 
-	private Map<String, List<TrackedServer>> acceptingByService = Map.of();
+	private Map<String, List<TrackedServer>> registeredAsReady = Map.of();
+
+	private final Map<String, TrackedServer> goneWithAnnouncement = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, TrackedServer> eldest) {
+			return size() > MAX_GONE_SERVERS;
+		}
+
+	};
 
 	/**
 	 * Replaces the list of servers. The tracked state (load, health) of a server is kept
-	 * as long as its registration shows the same server start and address.
+	 * as long as its registration shows the same server start and address. What a server
+	 * announced also outlives the loss of its registration.
 	 * @param servers all servers in use, including draining ones
 	 */
 	public void apply(List<RegisteredServer> servers) {
@@ -34,10 +52,13 @@
 		this.trackedById.forEach((id, tracked) -> {
 			if (!next.containsKey(id)) {
 				LOGGER.info("Server {} of service {} is gone", id, tracked.server().service());
+				if (tracked.availability().hasAnnouncement()) {
+					this.goneWithAnnouncement.put(id, tracked);
+				}
 			}
 		});
 		this.trackedById = next;
-		this.acceptingByService = next.values()
+		this.registeredAsReady = next.values()
 			.stream()
 			.filter((tracked) -> !tracked.server().draining())
 			.collect(Collectors.groupingBy((tracked) -> tracked.server().service()));
@@ -48,7 +69,7 @@
 		if (existing == null || !existing.server().isSameIncarnation(server)) {
 			LOGGER.info("Server {} of service {} at {} is known, draining={}, role={}", server.id(), server.service(),
 					server.address(), server.draining(), server.role());
-			return new TrackedServer(server);
+			return goneServer(server).orElseGet(() -> new TrackedServer(server));
 		}
 		if (existing.server().draining() != server.draining() || !existing.server().role().equals(server.role())) {
 			LOGGER.info("Server {} of service {} changed: draining={}, role={}", server.id(), server.service(),
@@ -58,13 +79,49 @@
 		return existing;
 	}
 
+	// Without a start time, a registration that comes back may be that of a restarted
+	// server.
+	private Optional<TrackedServer> goneServer(RegisteredServer server) {
+		Optional<TrackedServer> gone = Optional.ofNullable(this.goneWithAnnouncement.remove(server.id()))
+			.filter((tracked) -> server.startedAtMs() != 0 && tracked.server().isSameIncarnation(server));
+		gone.ifPresent((tracked) -> tracked.update(server));
+		return gone;
+	}
+
 	/**
-	 * Returns the servers of a service that take new requests.
+	 * Returns the servers of a service that take new requests. Servers for requests of
+	 * any step, and engines that are asked for their load before that, are selected from
+	 * these only.
 	 * @param service name of the service
-	 * @return the servers that are not draining; empty if there are none
+	 * @return the servers that are neither registered as draining nor have announced that
+	 * they are leaving; empty if there are none
 	 */
 	public List<TrackedServer> servers(String service) {
-		return this.acceptingByService.getOrDefault(service, List.of());
+		return this.registeredAsReady.getOrDefault(service, List.of())
+			.stream()
+			.filter((tracked) -> tracked.availability().isAccepting())
+			.toList();
+	}
+
+	/**
+	 * Returns whether a server takes new requests.
+	 * @param server registration of the server
+	 * @return whether it is one of the {@link #servers servers} of its service
+	 */
+	public boolean isAccepting(RegisteredServer server) {
+		return tracked(server).filter((tracked) -> !tracked.server().draining())
+			.filter((tracked) -> tracked.availability().isAccepting())
+			.isPresent();
+	}
+
+	/**
+	 * Returns the tracked state of a server.
+	 * @param server a registration of the server
+	 * @return the state, or empty if this incarnation of the server is gone
+	 */
+	public Optional<TrackedServer> tracked(RegisteredServer server) {
+		return Optional.ofNullable(this.trackedById.get(server.id()))
+			.filter((tracked) -> tracked.server().isSameIncarnation(server));
 	}
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -19,6 +19,7 @@
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.RunCounter;
+import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.placement.EnginePlacer;
@@ -70,6 +71,8 @@
 
 	private final RunCounter runs;
 
+	private final ServerAnnouncements announcements;
+
 	private final MonotonicClock clock;
 
 	private final XnioIoThread thread;
@@ -99,6 +102,7 @@
 		this.engineControl = dependencies.engineControl();
 		this.meters = dependencies.meters();
 		this.runs = dependencies.runs();
+		this.announcements = dependencies.announcements();
 		this.clock = dependencies.clock();
 		this.thread = dependencies.thread();
 		this.random = dependencies.random();
@@ -259,6 +263,10 @@
 		return this.meters;
 	}
 
+	ServerAnnouncements announcements() {
+		return this.announcements;
+	}
+
 	RunCounter runs() {
 		return this.runs;
 	}
@@ -272,13 +280,14 @@
 	 * @param engineControl asks engines for load reports, on the traffic thread
 	 * @param meters the metrics of this process
 	 * @param runs counts the requests that servers have run, for the usage reports
+	 * @param announcements records what servers announce about themselves
 	 * @param clock the monotonic clock
 	 * @param thread the traffic thread
 	 * @param random spreads the Retry-After delays
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
-			EngineControlClient engineControl, Meters meters, RunCounter runs, MonotonicClock clock,
-			XnioIoThread thread, RandomGenerator random) {
+			EngineControlClient engineControl, Meters meters, RunCounter runs, ServerAnnouncements announcements,
+			MonotonicClock clock, XnioIoThread thread, RandomGenerator random) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -170,6 +170,10 @@
 		this.head = response;
 		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId())
 				|| (response.attemptId().isEmpty() && response.notRun());
+		if (matchesRequest) {
+			this.dispatcher.announcements()
+				.onHead(this.trackedServer, response, this.request.input().head().attemptId());
+		}
 		if (!matchesRequest || response.encoded()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
 			return;
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
@@ -13,12 +13,13 @@
  * response does not say
  * @param signed whether the response carries the server's signature
  * @param notRun whether the server states that it neither ran the request nor will run it
+ * @param leaving whether the server announces that it is leaving
  * @param encoded whether the response has a content encoding
  * @param load requests at the server; empty if the response does not say
  * @param callerHeaders headers that are passed on to the caller
  */
-public record ResponseHead(int status, String attemptId, boolean signed, boolean notRun, boolean encoded,
-		Optional<LoadReport> load, List<HttpHeader> callerHeaders) {
+public record ResponseHead(int status, String attemptId, boolean signed, boolean notRun, boolean leaving,
+		boolean encoded, Optional<LoadReport> load, List<HttpHeader> callerHeaders) {
 
 	public ResponseHead {
 		callerHeaders = List.copyOf(callerHeaders);
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -12,8 +12,9 @@
 import io.anvilusher.model.request.PromptShape;
 
 /**
- * State that one gateway keeps about one incarnation of a server: its registration,
- * health, load and the prompt parts in its KV cache. Confined to one thread.
+ * State that one gateway keeps about one incarnation of a server: its registration, its
+ * announcements, health, load and the prompt parts in its KV cache. Confined to one
+ * thread.
  */
 public final class TrackedServer {
 
@@ -36,6 +37,8 @@
 
 	private final ServerHealth health = new ServerHealth();
 
+	private final ServerAvailability availability = new ServerAvailability();
+
 	private final PromptWindow window = new PromptWindow();
 
 	private final GenerationLimit generationLimit = new GenerationLimit();
@@ -93,6 +96,14 @@
 		return this.health;
 	}
 
+	/**
+	 * Returns what the server has announced about new requests.
+	 * @return the announcements of this incarnation of the server
+	 */
+	public ServerAvailability availability() {
+		return this.availability;
+	}
+
 	/**
 	 * Returns the limit of prompt tokens that may be pending at the server.
 	 * @return the window of this gateway at this server
