--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -197,6 +197,10 @@
 		// A response with another id, or none, may be a late copy of the response to an
 		// earlier request. It proves nothing about this one, even if it is a refusal.
 		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId());
+		if (matchesRequest) {
+			this.dispatcher.announcements()
+				.onHead(this.trackedServer, response, this.request.input().head().attemptId());
+		}
 		if (!matchesRequest || response.encoded()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
 			return;
