Send nothing to a server for the time of its Retry-After

Callers: requests went on to servers that had rejected one with 503 and Retry-After, and were rejected again or waited there; callers were told the gateway's own estimate. Cause: the gateway did not read the header; a rejection only shrank the prompt window. Change: ServerAvailability keeps the end of the pause, 60 s at most from one response; the longest one counts, a new start of the server forgets it. Unlike health backoff it holds also if no other server is left: the request is then refused at once as saturated, and if all servers pause, with the shortest time left as Retry-After.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -102,7 +102,7 @@
 
 	private final ControlThread control = new ControlThread();
 
-	private final ServerRegistry serverRegistry = new ServerRegistry();
+	private final ServerRegistry serverRegistry = new ServerRegistry(this.clock);
 
 	private final LapseGuard lapseGuard = new LapseGuard();
 
@@ -161,7 +161,7 @@
 					runCounter, new UsageReporter.Dependencies(this.adapter.usageLog(), reports), this.control,
 					this.clock, timeOfDayMs));
 		this.context = new ControlContext(this.control, this.clock, this.meters);
-		ServerAnnouncements announcements = new ServerAnnouncements(this.serverRegistry, this.meters);
+		ServerAnnouncements announcements = new ServerAnnouncements(this.serverRegistry, this.meters, this.clock);
 		EngineControlClient engineControl = this.adapter.engineControl(
 				(engine, head, path) -> thread.execute(() -> announcements.onControlHead(engine, head, path)));
 		this.roleController = new RoleController(this.dutyMembership, settings.process(),
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
@@ -4,6 +4,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.fleet.RegisteredServer;
@@ -18,18 +19,24 @@
 
 	private static final int MISDIRECTED = 421;
 
+	private static final int UNAVAILABLE = 503;
+
 	private final ServerRegistry serverRegistry;
 
 	private final Meters meters;
 
+	private final MonotonicClock clock;
+
 	/**
 	 * Creates an instance.
 	 * @param serverRegistry the servers
 	 * @param meters counts the announcements
+	 * @param clock the monotonic clock
 	 */
-	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters) {
+	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock) {
 		this.serverRegistry = serverRegistry;
 		this.meters = meters;
+		this.clock = clock;
 	}
 
 	/**
@@ -51,6 +58,23 @@
 				.addKeyValue("request_id", requestId)
 				.log("Server announced that it is leaving; it gets no new requests");
 		}
+		if (head.status() == UNAVAILABLE) {
+			head.retryAfterMs().ifPresent((pauseMs) -> onPauseRequested(server, pauseMs, requestId));
+		}
+	}
+
+	private void onPauseRequested(TrackedServer server, long pauseMs, String requestId) {
+		long nowMs = this.clock.nowMs();
+		if (!server.availability().onPauseRequested(pauseMs, nowMs)) {
+			return;
+		}
+		this.meters.counter("anvilusher.servers.pauses", "service", server.server().service()).increment();
+		LOGGER.atInfo()
+			.addKeyValue("server", server.server().id())
+			.addKeyValue("service", server.server().service())
+			.addKeyValue("pause_ms", server.availability().pauseLeftMs(nowMs))
+			.addKeyValue("request_id", requestId)
+			.log("Server asked for a pause; it gets no requests until its end");
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -5,11 +5,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.logic.placement.AcceptingServers;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.fleet.RegisteredServer;
 
@@ -27,6 +30,8 @@
 	 */
 	private static final int MAX_GONE_SERVERS = 4_096;
 
+	private final MonotonicClock clock;
+
 	private Map<String, TrackedServer> trackedById = Map.of();
 
 	private Map<String, List<TrackedServer>> registeredAsReady = Map.of();
@@ -40,6 +45,14 @@
 
 	};
 
+	/**
+	 * Creates a registry without servers.
+	 * @param clock the monotonic clock
+	 */
+	public ServerRegistry(MonotonicClock clock) {
+		this.clock = clock;
+	}
+
 	/**
 	 * Replaces the list of servers. The tracked state (load, health) of a server is kept
 	 * as long as its registration shows the same server start and address. What a server
@@ -93,14 +106,47 @@
 	 * any step, and engines that are asked for their load before that, are selected from
 	 * these only.
 	 * @param service name of the service
-	 * @return the servers that are neither registered as draining nor have announced that
-	 * they are leaving; empty if there are none
+	 * @return the servers that are not registered as draining, have not announced that
+	 * they are leaving and have no pause in effect; empty if there are none
 	 */
 	public List<TrackedServer> servers(String service) {
-		return this.registeredAsReady.getOrDefault(service, List.of())
+		return AcceptingServers.select(registeredAsReady(service), this.clock.nowMs());
+	}
+
+	/**
+	 * Returns whether a server of a service pauses that could run complete requests.
+	 * @param service name of the service
+	 * @return whether there is one
+	 */
+	public boolean isAnyPaused(String service) {
+		return AcceptingServers.isAnyPaused(registeredAsReady(service), this.clock.nowMs());
+	}
+
+	/**
+	 * Returns when the first server takes requests again if all of a service pause.
+	 * @param service name of the service
+	 * @return the time in ms; empty if not all of them pause
+	 */
+	public OptionalLong firstAcceptsInMs(String service) {
+		return AcceptingServers.firstAcceptsInMs(registeredAsReady(service), this.clock.nowMs());
+	}
+
+	/**
+	 * Returns how much longer the server at an address is to get no requests.
+	 * @param address address (IP and port) of the server
+	 * @return the time in ms; 0 if no pause is in effect
+	 */
+	public long pauseLeftMs(String address) {
+		return this.trackedById.values()
 			.stream()
-			.filter((tracked) -> tracked.availability().isAccepting())
-			.toList();
+			.filter((tracked) -> tracked.server().address().equals(address))
+			.mapToLong((tracked) -> tracked.availability().pauseLeftMs(this.clock.nowMs()))
+			.max()
+			.orElse(0);
+	}
+
+	private List<TrackedServer> registeredAsReady(String service) {
+		return this.registeredAsReady.getOrDefault(service, List.of());
 	}
 
 	/**
@@ -110,7 +156,7 @@
 	 */
 	public boolean isAccepting(RegisteredServer server) {
 		return tracked(server).filter((tracked) -> !tracked.server().draining())
-			.filter((tracked) -> tracked.availability().isAccepting())
+			.filter((tracked) -> tracked.availability().isAccepting(this.clock.nowMs()))
 			.isPresent();
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +22,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.Placement;
@@ -29,6 +31,7 @@
 import io.anvilusher.logic.placement.RetryAfterEstimator;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.retry.SharedRetryBudget;
+import io.anvilusher.model.request.RefusalReason;
 
 /**
  * Selects a server for each request. Requests that find no server with spare capacity are
@@ -203,7 +206,29 @@
 		serviceState(service).queue().placeQueued(GatewayRequest::tryPlace);
 	}
 
+	RefusalReason noServerReason(String service) {
+		return this.serverRegistry.isAnyPaused(service) ? RefusalReason.SERVICE_SATURATED : RefusalReason.NO_SERVER;
+	}
+
+	/**
+	 * Frees a KV cache that will not be fetched, after the pause of its engine if one is
+	 * in effect.
+	 * @param fetch the KV cache
+	 */
+	void freeKvCache(KvStep.Fetch fetch) {
+		long pauseLeftMs = this.serverRegistry.pauseLeftMs(fetch.source());
+		if (pauseLeftMs > 0) {
+			schedule(pauseLeftMs, () -> freeKvCache(fetch));
+			return;
+		}
+		this.client.start(this.format.freeHandle(fetch.source(), fetch.handle()), FreeKvCacheListener.INSTANCE);
+	}
+
 	long retryAfterMs(String service) {
+		OptionalLong firstAcceptsInMs = this.serverRegistry.firstAcceptsInMs(service);
+		if (firstAcceptsInMs.isPresent()) {
+			return firstAcceptsInMs.getAsLong();
+		}
 		double pendingUnits = this.serverRegistry.servers(service)
 			.stream()
 			.mapToDouble((server) -> server.window().pendingTokens() + 1)
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -153,7 +153,7 @@
 			send(split.prefill(), split.uncachedTokens(), new KvStep.Prefill(), null);
 		}
 		else {
-			refuse(RefusalReason.NO_SERVER);
+			refuse(noServerReason());
 		}
 		return true;
 	}
@@ -183,17 +183,17 @@
 	void onPrefilled(ServerAttempt attempt, String source, String handle) {
 		KvStep.Fetch fetch = new KvStep.Fetch(source, handle);
 		if (this.done || this.decodeServer == null) {
-			freeKvCache(fetch);
+			this.dispatcher.freeKvCache(fetch);
 			return;
 		}
-		this.unfetchedKvCache.ifPresent(this::freeKvCache);
+		this.unfetchedKvCache.ifPresent(this.dispatcher::freeKvCache);
 		this.unfetchedKvCache = Optional.of(fetch);
 		this.prefillDone = true;
 		// The prefill of a long prompt takes seconds, in which the decode engine may have
 		// started to drain.
 		Optional<TrackedServer> target = this.dispatcher.isAccepting(this.decodeServer) ? Optional.of(this.decodeServer)
 				: this.dispatcher.placeDecode(this, attempt.promptServer(), this.excludedServers);
-		target.ifPresentOrElse((engine) -> send(engine, 1, fetch, attempt), () -> refuse(RefusalReason.NO_SERVER));
+		target.ifPresentOrElse((engine) -> send(engine, 1, fetch, attempt), () -> refuse(noServerReason()));
 	}
 
 	/**
@@ -427,16 +427,15 @@
 		this.response.send(head.status(), head.callerHeaders(), body);
 	}
 
-	private void freeKvCache(KvStep.Fetch fetch) {
-		this.dispatcher.client()
-			.start(this.dispatcher.format().freeHandle(fetch.source(), fetch.handle()), FreeKvCacheListener.INSTANCE);
+	private RefusalReason noServerReason() {
+		return this.dispatcher.noServerReason(this.input.service());
 	}
 
 	private void finish(String outcome, int status) {
 		this.done = true;
 		this.cancelTimeout.run();
 		this.dispatcher.serviceState(this.input.service()).queue().remove(this);
-		this.unfetchedKvCache.ifPresent(this::freeKvCache);
+		this.unfetchedKvCache.ifPresent(this.dispatcher::freeKvCache);
 		long nowMs = this.dispatcher.nowMs();
 		this.dispatcher.recordEnd(this.input.service(), status, this.firstResultMs, nowMs - this.input.arrivedAtMs());
 		LOGGER.atInfo()
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.anvilusher.model.request.HttpHeader;
 
@@ -14,12 +15,14 @@
  * @param signed whether the response carries the server's signature
  * @param notRun whether the server states that it neither ran the request nor will run it
  * @param leaving whether the server announces that it is leaving
+ * @param retryAfterMs time after which the server is to be sent requests again, in ms;
+ * empty if the response does not say
  * @param encoded whether the response has a content encoding
  * @param load requests at the server; empty if the response does not say
  * @param callerHeaders headers that are passed on to the caller
  */
 public record ResponseHead(int status, String attemptId, boolean signed, boolean notRun, boolean leaving,
-		boolean encoded, Optional<LoadReport> load, List<HttpHeader> callerHeaders) {
+		OptionalLong retryAfterMs, boolean encoded, Optional<LoadReport> load, List<HttpHeader> callerHeaders) {
 
 	public ResponseHead {
 		callerHeaders = List.copyOf(callerHeaders);
