Log which prompt parts were running at a server when it crashed

After a lost connection the gateway now asks the server over a new connection; if it does not respond, one line names the crash and what ran.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -39,6 +39,7 @@
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
 import io.anvilusher.gateway.request.Dispatcher;
+import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.logic.fleet.LapseGuard;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.logic.usage.WallClockEstimator;
@@ -162,7 +163,8 @@
 				() -> this.serversInUse, this.context);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
-						this.adapter.engineControl(), this.meters, runCounter, this.clock, thread, random),
+						this.adapter.engineControl(), new SuspectGuard(this.adapter.engineControl(), this.meters),
+						this.meters, runCounter, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
 				dispatcher, this.routes::get, this.clock, this.meters, random);
--- a/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
@@ -19,6 +19,14 @@
 	 */
 	CompletableFuture<Optional<EngineReport>> report(RegisteredServer engine);
 
+	/**
+	 * Asks a server over a new connection whether it responds at all.
+	 * @param server the server, which need not be an engine
+	 * @return whether it sent a response, whatever its status; completes normally in any
+	 * case
+	 */
+	CompletableFuture<Boolean> isResponding(RegisteredServer server);
+
 	/**
 	 * Orders an engine to change its role.
 	 * @param engine the engine
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -20,6 +20,7 @@
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.Placement;
@@ -66,6 +67,8 @@
 
 	private final EngineControlClient engineControl;
 
+	private final SuspectGuard suspects;
+
 	private final Meters meters;
 
 	private final RunCounter runs;
@@ -97,6 +100,7 @@
 		this.format = dependencies.format();
 		this.client = dependencies.client();
 		this.engineControl = dependencies.engineControl();
+		this.suspects = dependencies.suspects();
 		this.meters = dependencies.meters();
 		this.runs = dependencies.runs();
 		this.clock = dependencies.clock();
@@ -255,6 +259,10 @@
 		return this.client;
 	}
 
+	SuspectGuard suspects() {
+		return this.suspects;
+	}
+
 	Meters meters() {
 		return this.meters;
 	}
@@ -270,6 +278,7 @@
 	 * @param format header and body formats of the deployment
 	 * @param client sends requests to servers, on the traffic thread
 	 * @param engineControl asks engines for load reports, on the traffic thread
+	 * @param suspects finds out which requests crash servers
 	 * @param meters the metrics of this process
 	 * @param runs counts the requests that servers have run, for the usage reports
 	 * @param clock the monotonic clock
@@ -277,8 +286,8 @@
 	 * @param random spreads the Retry-After delays
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
-			EngineControlClient engineControl, Meters meters, RunCounter runs, MonotonicClock clock,
-			XnioIoThread thread, RandomGenerator random) {
+			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
+			MonotonicClock clock, XnioIoThread thread, RandomGenerator random) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/RequestInput.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/RequestInput.java
@@ -1,10 +1,13 @@
 package io.anvilusher.gateway.request;
 
+import java.util.List;
 import java.util.Optional;
 
 import io.undertow.server.HttpServerExchange;
 
+import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.wire.RequestHead;
+import io.anvilusher.model.request.PromptShape;
 import io.anvilusher.model.routing.Route;
 
 /**
@@ -32,6 +35,11 @@
 		return Math.min(deadlineMs(), this.arrivedAtMs + this.route.timeoutMs());
 	}
 
+	RequestSubjects subjects() {
+		return new RequestSubjects(this.head.prompt().map(PromptShape::sharedParts).orElseGet(List::of),
+				this.workspace.orElse(""), path(), this.body);
+	}
+
 	String path() {
 		String query = this.exchange.getQueryString();
 		String path = this.exchange.getRequestURI();
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -364,6 +364,9 @@
 			this.request.onNotRun(this, AttemptFailure.SERVER_UNREACHABLE, false);
 			return;
 		}
+		if (mayHaveRun() && !this.runCounted) {
+			this.dispatcher.suspects().onConnectionLost(this.trackedServer.server(), this.request.input().subjects());
+		}
 		this.request.onFailed(this, AttemptFailure.SERVER_CRASHED);
 	}
 
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -0,0 +1,130 @@
+package io.anvilusher.gateway.suspect;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.gateway.control.EngineControlClient;
+import io.anvilusher.model.fleet.RegisteredServer;
+
+/**
+ * Tells crashes of servers from single connections that were lost: after a loss, the
+ * server is asked over a new connection whether it still responds. Runs on the traffic
+ * thread.
+ */
+final class CrashDetector {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(CrashDetector.class);
+
+	/**
+	 * Number of servers whose last crash is remembered; the oldest are forgotten first.
+	 */
+	private static final int MAX_CRASHES = 1_024;
+
+	/**
+	 * Number of subjects remembered for one crash: several for each request that a
+	 * gateway has at one server.
+	 */
+	private static final int MAX_SUBJECTS = 256;
+
+	private final EngineControlClient client;
+
+	private final Meters meters;
+
+	private final CrashListener listener;
+
+	private final Map<String, LostRequests> lostByServer = new LinkedHashMap<>();
+
+	/**
+	 * Creates a detector.
+	 * @param client asks servers whether they respond
+	 * @param meters the metrics of this process
+	 * @param listener is notified of crashes
+	 */
+	CrashDetector(EngineControlClient client, Meters meters, CrashListener listener) {
+		this.client = client;
+		this.meters = meters;
+		this.listener = listener;
+	}
+
+	/**
+	 * Records that the connection of a request was lost before the request had a result.
+	 * @param server the server
+	 * @param subjects subjects of the request
+	 */
+	void onConnectionLost(RegisteredServer server, RequestSubjects subjects) {
+		LostRequests lost = this.lostByServer.get(server.id());
+		if (lost != null && lost.server.isSameIncarnation(server)) {
+			lost.add(subjects);
+			if (lost.crashed) {
+				this.listener.onCrash(server, lost.subjects());
+			}
+			return;
+		}
+		LostRequests first = new LostRequests(server);
+		first.add(subjects);
+		this.lostByServer.remove(server.id());
+		this.lostByServer.put(server.id(), first);
+		forgetOldest();
+		this.client.isResponding(server).thenAccept((responding) -> onProbed(first, responding));
+	}
+
+	private void forgetOldest() {
+		Iterator<LostRequests> oldest = this.lostByServer.values().iterator();
+		while (this.lostByServer.size() > MAX_CRASHES) {
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
+	private void onProbed(LostRequests lost, boolean responding) {
+		this.meters.counter("anvilusher.server.probes", "outcome", responding ? "responding" : "crashed").increment();
+		if (responding) {
+			this.lostByServer.remove(lost.server.id(), lost);
+			return;
+		}
+		lost.crashed = true;
+		LOGGER.atWarn()
+			.addKeyValue("server", lost.server.id())
+			.addKeyValue("service", lost.server.service())
+			.addKeyValue("lost_requests", lost.requests)
+			.addKeyValue("subjects", lost.subjects)
+			.log("Server crashed while requests without a result were running");
+		this.listener.onCrash(lost.server, lost.subjects());
+	}
+
+	private static final class LostRequests {
+
+		private final RegisteredServer server;
+
+		private final Set<String> subjects = new LinkedHashSet<>();
+
+		private int requests;
+
+		private boolean crashed;
+
+		LostRequests(RegisteredServer server) {
+			this.server = server;
+		}
+
+		Set<String> subjects() {
+			return Set.copyOf(this.subjects);
+		}
+
+		void add(RequestSubjects lost) {
+			this.requests++;
+			if (this.subjects.size() < MAX_SUBJECTS) {
+				this.subjects.addAll(lost.parts());
+				this.subjects.add(lost.request());
+			}
+		}
+
+	}
+
+}
