Refuse prompt parts and requests that crash servers, at all gateways

Gateways now share confirmed crashes, with the prompt parts and the requests that had no result at the server, through a keyed topic of the store. A part that was at three crashes and that no server has answered lately is convicted and refused with 503 as not run; so is a request that is sent again and again. The decision depends only on the set of reports (logic.suspect), so all gateways reach the same one. CrashingPromptTests failed before: 8 of 8 servers crashed by one part, and by one repeated request.

--- a/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
@@ -65,6 +65,13 @@
 	 */
 	StoreLog usageLog();
 
+	/**
+	 * Returns the table of the store through which gateways share crashes of servers and
+	 * the prompt parts and requests that cause them.
+	 * @return the table
+	 */
+	StoreTable suspects();
+
 	/**
 	 * Returns the group that elects the holder of the duties.
 	 * @return the group
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -118,6 +118,8 @@
 
 	private final RoleController roleController;
 
+	private final SuspectGuard suspects;
+
 	private Map<String, RegisteredServer> registeredServers = Map.of();
 
 	private volatile List<RegisteredServer> serversInUse = List.of();
@@ -161,10 +163,12 @@
 		this.context = new ControlContext(this.control, this.clock, this.meters);
 		this.roleController = new RoleController(this.dutyMembership, settings.process(), this.adapter.engineControl(),
 				() -> this.serversInUse, this.context);
+		this.suspects = new SuspectGuard(settings.process(), this.adapter.engineControl(), this.adapter.suspects(),
+				this.context, timeOfDayMs, random);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
-						this.adapter.engineControl(), new SuspectGuard(this.adapter.engineControl(), this.meters),
-						this.meters, runCounter, this.clock, thread, random),
+						this.adapter.engineControl(), this.suspects, this.meters, runCounter, this.clock, thread,
+						random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
 				dispatcher, this.routes::get, this.clock, this.meters, random);
@@ -187,6 +191,7 @@
 		gateway.startFollowers();
 		gateway.usageReporter.ifPresent(UsageReporter::start);
 		gateway.roleController.start();
+		gateway.suspects.start();
 		gateway.dutyMembership.start();
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
--- a/gateway/src/main/java/io/anvilusher/gateway/control/StoreTable.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/StoreTable.java
@@ -15,6 +15,15 @@
 	 */
 	CompletableFuture<TableReadResult> page(Optional<String> afterKey);
 
+	/**
+	 * Writes the record of a key.
+	 * @param key the key, at most 255 bytes
+	 * @param value the value; empty to remove the key
+	 * @return whether the store confirmed it; an unconfirmed record may still appear in
+	 * the table. Completes normally in any case.
+	 */
+	CompletableFuture<Boolean> write(String key, Optional<byte[]> value);
+
 	/**
 	 * Reads the records written from an offset on; waits for one if there is none yet.
 	 * @param fromOffset offset of the first record to read
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -278,7 +278,7 @@
 	 * @param format header and body formats of the deployment
 	 * @param client sends requests to servers, on the traffic thread
 	 * @param engineControl asks engines for load reports, on the traffic thread
-	 * @param suspects finds out which requests crash servers
+	 * @param suspects keeps requests that crash servers away from them
 	 * @param meters the metrics of this process
 	 * @param runs counts the requests that servers have run, for the usage reports
 	 * @param clock the monotonic clock
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -104,7 +104,17 @@
 		this.response.onCallerDisconnected(this::onCallerDisconnected);
 		this.cancelTimeout = this.dispatcher.schedule(this.input.timeoutAtMs() - this.dispatcher.nowMs(),
 				this::onTimeout);
-		placeOrEnqueue();
+		if (!refuseSuspect()) {
+			placeOrEnqueue();
+		}
+	}
+
+	private boolean refuseSuspect() {
+		boolean refused = this.dispatcher.suspects().isRefused(this.input::subjects);
+		if (refused) {
+			refuse(RefusalReason.SUSPECTED_OF_CRASHES);
+		}
+		return refused;
 	}
 
 	private void placeOrEnqueue() {
@@ -129,7 +139,7 @@
 	 * sent, refused or has ended
 	 */
 	boolean tryPlace() {
-		if (this.done) {
+		if (this.done || refuseSuspect()) {
 			return true;
 		}
 		Placement placement = this.dispatcher.place(this, this.excludedServers);
@@ -189,6 +199,9 @@
 		this.unfetchedKvCache.ifPresent(this::freeKvCache);
 		this.unfetchedKvCache = Optional.of(fetch);
 		this.prefillDone = true;
+		if (refuseSuspect()) {
+			return;
+		}
 		// The prefill of a long prompt takes seconds, in which the decode engine may have
 		// started to drain.
 		Optional<TrackedServer> target = this.dispatcher.isAccepting(this.decodeServer) ? Optional.of(this.decodeServer)
@@ -274,6 +287,9 @@
 			.log("Attempt failed; the request is sent again");
 		this.streamAttempt = null;
 		this.eventSplitter.dropPartialEvent();
+		if (refuseSuspect()) {
+			return true;
+		}
 		if (failure != AttemptFailure.SERVER_UNREACHABLE || !fetchOnOtherServer(attempt)) {
 			placeOrEnqueue();
 		}
@@ -309,8 +325,9 @@
 		// reason that contradicts what is known about the attempts is replaced.
 		RefusalReason reason = (proposed.notRun() && this.mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
 		reason = (!proposed.notRun() && !this.mayHaveRun) ? RefusalReason.NO_SERVER : reason;
-		OptionalLong retryAfterMs = reason.notRun()
-				? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service())) : OptionalLong.empty();
+		boolean worthRetrying = reason.notRun() && reason != RefusalReason.SUSPECTED_OF_CRASHES;
+		OptionalLong retryAfterMs = worthRetrying ? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service()))
+				: OptionalLong.empty();
 		finish(reason.code(), reason.httpStatus());
 		this.dispatcher.meters().refused(this.input.service(), reason);
 		this.response.refuse(reason, retryAfterMs);
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -276,6 +276,7 @@
 						this.request.input().route().targetMs(), nowMs);
 		});
 		countRun(nowMs);
+		this.dispatcher.suspects().onAnswered(this.request.input().subjects());
 		releasePrompt();
 		this.dispatcher.onCapacityFreed(this.request.input().service());
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -2,9 +2,7 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.Map;
-import java.util.Set;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -63,7 +61,7 @@
 		if (lost != null && lost.server.isSameIncarnation(server)) {
 			lost.add(subjects);
 			if (lost.crashed) {
-				this.listener.onCrash(server, lost.subjects());
+				this.listener.onCrash(server, lost.depths());
 			}
 			return;
 		}
@@ -94,16 +92,16 @@
 			.addKeyValue("server", lost.server.id())
 			.addKeyValue("service", lost.server.service())
 			.addKeyValue("lost_requests", lost.requests)
-			.addKeyValue("subjects", lost.subjects)
+			.addKeyValue("subjects", lost.depths.keySet())
 			.log("Server crashed while requests without a result were running");
-		this.listener.onCrash(lost.server, lost.subjects());
+		this.listener.onCrash(lost.server, lost.depths());
 	}
 
 	private static final class LostRequests {
 
 		private final RegisteredServer server;
 
-		private final Set<String> subjects = new LinkedHashSet<>();
+		private final Map<String, Integer> depths = new LinkedHashMap<>();
 
 		private int requests;
 
@@ -113,15 +111,14 @@
 			this.server = server;
 		}
 
-		Set<String> subjects() {
-			return Set.copyOf(this.subjects);
+		Map<String, Integer> depths() {
+			return Map.copyOf(this.depths);
 		}
 
 		void add(RequestSubjects lost) {
 			this.requests++;
-			if (this.subjects.size() < MAX_SUBJECTS) {
-				this.subjects.addAll(lost.parts());
-				this.subjects.add(lost.request());
+			if (this.depths.size() < MAX_SUBJECTS) {
+				lost.depths().forEach((subject, depth) -> this.depths.merge(subject, depth, Math::max));
 			}
 		}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashListener.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashListener.java
@@ -1,6 +1,6 @@
 package io.anvilusher.gateway.suspect;
 
-import java.util.Set;
+import java.util.Map;
 
 import io.anvilusher.model.fleet.RegisteredServer;
 
@@ -14,8 +14,9 @@
 	 * Called when a crash is confirmed, and again if more connections turn out to have
 	 * been lost in it.
 	 * @param server the server
-	 * @param subjects subjects of the requests of this gateway that had no result yet
+	 * @param depths subjects of the requests of this gateway that had no result yet, with
+	 * their positions in the prompt
 	 */
-	void onCrash(RegisteredServer server, Set<String> subjects);
+	void onCrash(RegisteredServer server, Map<String, Integer> depths);
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/RequestSubjects.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/RequestSubjects.java
@@ -3,9 +3,15 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
+import io.anvilusher.logic.suspect.CrashObservation;
 import io.anvilusher.model.request.PromptPart;
 
 /**
@@ -56,6 +62,19 @@
 		return this.sharedParts.stream().map((part) -> PART + bounded(part.id())).toList();
 	}
 
+	/**
+	 * Returns the identifiers of all subjects with their positions in the prompt.
+	 * @return the depths of the parts, from 0, and {@link CrashObservation#REQUEST_DEPTH}
+	 * for the request
+	 */
+	Map<String, Integer> depths() {
+		List<String> parts = parts();
+		Map<String, Integer> depths = new HashMap<>();
+		IntStream.range(0, parts.size()).forEach((depth) -> depths.putIfAbsent(parts.get(depth), depth));
+		depths.put(request(), CrashObservation.REQUEST_DEPTH);
+		return depths;
+	}
+
 	private static String bounded(String id) {
 		return (id.length() <= MAX_PART_ID_CHARS) ? id : hash(id.getBytes(StandardCharsets.UTF_8));
 	}
@@ -70,6 +89,21 @@
 				this.path.getBytes(StandardCharsets.UTF_8), this.body);
 	}
 
+	/**
+	 * Returns those of the subjects that are in a set.
+	 * @param named the set
+	 * @return identifiers of parts and of the request
+	 */
+	List<String> in(Set<String> named) {
+		if (named.isEmpty()) {
+			return List.of();
+		}
+		boolean namesRequests = named.stream().anyMatch((subject) -> subject.startsWith(REQUEST));
+		return Stream.concat(parts().stream(), namesRequests ? Stream.of(request()) : Stream.empty())
+			.filter(named::contains)
+			.toList();
+	}
+
 	private static String hash(byte[]... contents) {
 		try {
 			MessageDigest digest = MessageDigest.getInstance("SHA-256");
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
@@ -1,25 +1,58 @@
 package io.anvilusher.gateway.suspect;
 
-import io.anvilusher.adapters.metrics.Meters;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+
 import io.anvilusher.gateway.control.EngineControlClient;
+import io.anvilusher.gateway.control.StoreTable;
+import io.anvilusher.gateway.control.TableFollower;
+import io.anvilusher.logic.suspect.SuspectVerdict;
 import io.anvilusher.model.fleet.RegisteredServer;
 
 /**
- * Observes which requests were running when a server crashed. All methods run on the
- * traffic thread.
+ * Keeps prompt parts and requests that crash servers away from them. All methods run on
+ * the traffic thread.
  */
 public final class SuspectGuard {
 
 	private final CrashDetector detector;
 
+	private final TableFollower.ControlContext context;
+
+	private final AnsweredParts answeredParts = new AnsweredParts();
+
+	private final SuspectFollower follower;
+
 	/**
 	 * Creates a guard.
+	 * @param process name of this process
 	 * @param client asks servers whether they respond
-	 * @param meters the metrics of this process
+	 * @param table table of the store through which gateways share crashes
+	 * @param context control thread, clock and metrics
+	 * @param timeOfDayMs estimate of the time of day, in ms since 1970
+	 * @param random spreads the writes of the gateways
+	 */
+	public SuspectGuard(String process, EngineControlClient client, StoreTable table,
+			TableFollower.ControlContext context, LongSupplier timeOfDayMs, RandomGenerator random) {
+		this.context = context;
+		this.follower = new SuspectFollower(process, table, context, timeOfDayMs, random, this.answeredParts);
+		this.detector = new CrashDetector(client, context.meters(), this::onCrash);
+	}
+
+	/**
+	 * Starts to share crashes with the other gateways.
 	 */
-	public SuspectGuard(EngineControlClient client, Meters meters) {
-		this.detector = new CrashDetector(client, meters, (server, subjects) -> {
-		});
+	public void start() {
+		this.follower.start();
+	}
+
+	private void onCrash(RegisteredServer server, Map<String, Integer> depths) {
+		this.context.thread()
+			.run(() -> this.follower.onCrash(server.id() + "@" + server.startedAtMs(), server.service(), depths));
 	}
 
 	/**
@@ -32,4 +65,26 @@
 		this.detector.onConnectionLost(server, subjects);
 	}
 
+	/**
+	 * Records the first event of a stream or a complete response of a server.
+	 * @param subjects subjects of the request
+	 */
+	public void onAnswered(RequestSubjects subjects) {
+		this.answeredParts.add(subjects.parts(), this.context.clock().nowMs());
+		SuspectVerdict verdict = this.follower.verdict();
+		Stream.of(verdict.suspects(), verdict.convicted())
+			.flatMap((named) -> subjects.in(named).stream())
+			.forEach((subject) -> this.context.thread().run(() -> this.follower.onAnswered(subject)));
+	}
+
+	/**
+	 * Returns whether a request must not be sent to a server.
+	 * @param subjects supplies the subjects of the request
+	 * @return whether it, or a part of its prompt, is convicted of crashing servers
+	 */
+	public boolean isRefused(Supplier<RequestSubjects> subjects) {
+		Set<String> convicted = this.follower.verdict().convicted();
+		return !convicted.isEmpty() && !subjects.get().in(convicted).isEmpty();
+	}
+
 }
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -71,6 +71,12 @@
 	 */
 	REQUEST_CRASHES_SERVERS(422, false),
 
+	/**
+	 * The request or a part of its prompt was running when several backend servers
+	 * crashed, so it is not sent to one.
+	 */
+	SUSPECTED_OF_CRASHES(503, true),
+
 	/** The request could not be started in time. */
 	QUEUE_TIMEOUT(503, true),
 
