Confirm a crash only if the server accepts no new connection

A server over its connection limit resets new connections, so the probe was reset like the request, and the parts of that request counted as at a crash: CrashingPromptTests.partOfPromptsWhoseConnectionsAreReset failed with a server that also resets the probe. An opened connection now means that the server is up; it is probed once more after 100 ms, as a process that ends may still accept one.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -163,8 +163,8 @@
 		this.context = new ControlContext(this.control, this.clock, this.meters);
 		this.roleController = new RoleController(this.dutyMembership, settings.process(), this.adapter.engineControl(),
 				() -> this.serversInUse, this.context);
-		this.suspects = new SuspectGuard(settings.process(), this.adapter.engineControl(), this.adapter.suspects(),
-				this.context, timeOfDayMs, random);
+		this.suspects = new SuspectGuard(settings.process(), this.adapter.engineControl(), thread,
+				this.adapter.suspects(), this.context, timeOfDayMs, random);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client,
 						this.adapter.engineControl(), this.suspects, this.meters, runCounter, this.clock, thread,
--- a/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
@@ -20,12 +20,12 @@
 	CompletableFuture<Optional<EngineReport>> report(RegisteredServer engine);
 
 	/**
-	 * Asks a server over a new connection whether it responds at all.
+	 * Tries to open a new connection to a server.
 	 * @param server the server, which need not be an engine
-	 * @return whether it sent a response, whatever its status; completes normally in any
-	 * case
+	 * @return whether the connection was opened, even if the server resets it afterwards;
+	 * completes normally in any case
 	 */
-	CompletableFuture<Boolean> isResponding(RegisteredServer server);
+	CompletableFuture<Boolean> acceptsConnections(RegisteredServer server);
 
 	/**
 	 * Orders an engine to change its role.
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -3,18 +3,19 @@
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
 
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.model.fleet.RegisteredServer;
 
 /**
- * Tells crashes of servers from single connections that were lost: after a loss, the
- * server is asked over a new connection whether it still responds. Runs on the traffic
- * thread.
+ * Tells crashes of servers from single connections that were lost: a server has crashed
+ * if it accepts no new connection after a loss. Runs on the traffic thread.
  */
 final class CrashDetector {
 
@@ -31,8 +32,13 @@
 	 */
 	private static final int MAX_SUBJECTS = 256;
 
+	/** Time until a process that ends has closed its sockets; a restart takes seconds. */
+	private static final long SECOND_PROBE_DELAY_MS = 100;
+
 	private final EngineControlClient client;
 
+	private final XnioIoThread thread;
+
 	private final Meters meters;
 
 	private final CrashListener listener;
@@ -41,12 +47,14 @@
 
 	/**
 	 * Creates a detector.
-	 * @param client asks servers whether they respond
+	 * @param client asks servers whether they accept connections
+	 * @param thread the traffic thread
 	 * @param meters the metrics of this process
 	 * @param listener is notified of crashes
 	 */
-	CrashDetector(EngineControlClient client, Meters meters, CrashListener listener) {
+	CrashDetector(EngineControlClient client, XnioIoThread thread, Meters meters, CrashListener listener) {
 		this.client = client;
+		this.thread = thread;
 		this.meters = meters;
 		this.listener = listener;
 	}
@@ -70,7 +78,7 @@
 		this.lostByServer.remove(server.id());
 		this.lostByServer.put(server.id(), first);
 		forgetOldest();
-		this.client.isResponding(server).thenAccept((responding) -> onProbed(first, responding));
+		probe(first, true);
 	}
 
 	private void forgetOldest() {
@@ -81,9 +89,19 @@
 		}
 	}
 
-	private void onProbed(LostRequests lost, boolean responding) {
-		this.meters.counter("anvilusher.server.probes", "outcome", responding ? "responding" : "crashed").increment();
-		if (responding) {
+	private void probe(LostRequests lost, boolean first) {
+		this.client.acceptsConnections(lost.server)
+			.thenAcceptAsync((accepting) -> onProbed(lost, accepting, first), this.thread);
+	}
+
+	private void onProbed(LostRequests lost, boolean accepting, boolean first) {
+		this.meters.counter("anvilusher.server.probes", "outcome", accepting ? "accepting" : "crashed").increment();
+		if (accepting && first) {
+			// A process that ends may still have accepted the connection.
+			this.thread.executeAfter(() -> probe(lost, false), SECOND_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (accepting) {
 			this.lostByServer.remove(lost.server.id(), lost);
 			return;
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
@@ -226,6 +226,12 @@
 		SuspectVerdict next = CrashInquiry.decide(reports, convictedUntilMs(), nowMs);
 		this.verdict = next;
 		next.newlyConvicted().forEach((subject, crashes) -> convict(subject, crashes, nowMs));
+		next.convicted()
+			.stream()
+			.filter((subject) -> !before.convicted().contains(subject) && !next.newlyConvicted().containsKey(subject))
+			.forEach((subject) -> LOGGER.atWarn()
+				.addKeyValue("subject", subject)
+				.log("Subject is convicted by another gateway and is sent to no server"));
 		List<String> answered = reports.stream().flatMap((report) -> report.answered().stream()).toList();
 		before.convicted()
 			.stream()
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
@@ -7,6 +7,8 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
+import org.xnio.XnioIoThread;
+
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.StoreTable;
 import io.anvilusher.gateway.control.TableFollower;
@@ -30,17 +32,18 @@
 	/**
 	 * Creates a guard.
 	 * @param process name of this process
-	 * @param client asks servers whether they respond
+	 * @param client asks servers whether they accept connections
+	 * @param thread the traffic thread
 	 * @param table table of the store through which gateways share crashes
 	 * @param context control thread, clock and metrics
 	 * @param timeOfDayMs estimate of the time of day, in ms since 1970
 	 * @param random spreads the writes of the gateways
 	 */
-	public SuspectGuard(String process, EngineControlClient client, StoreTable table,
+	public SuspectGuard(String process, EngineControlClient client, XnioIoThread thread, StoreTable table,
 			TableFollower.ControlContext context, LongSupplier timeOfDayMs, RandomGenerator random) {
 		this.context = context;
 		this.follower = new SuspectFollower(process, table, context, timeOfDayMs, random, this.answeredParts);
-		this.detector = new CrashDetector(client, context.meters(), this::onCrash);
+		this.detector = new CrashDetector(client, thread, context.meters(), this::onCrash);
 	}
 
 	/**
