Do not convict requests that servers have answered

Only answered prompt parts were remembered. A request that many callers repeat unchanged and that was running at all servers in an outage was convicted for an hour (CrashingPromptTests.repeatedRequestThatWasAnswered... failed with a 503). The hashes of answered requests are now remembered as well; of long bodies only the beginning is hashed.

--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/RequestSubjects.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/RequestSubjects.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HexFormat;
 import java.util.List;
@@ -32,6 +33,9 @@
 
 	private static final int HASH_BYTES = 16;
 
+	/** Of a longer body, only the length and the beginning are hashed. */
+	private static final int MAX_HASHED_BYTES = 64 * 1024;
+
 	private final List<PromptPart> sharedParts;
 
 	private final String workspace;
@@ -82,11 +86,14 @@
 	/**
 	 * Returns the identifier of the request, which is the same when the caller sends it
 	 * again.
-	 * @return hash of workspace, path and body
+	 * @return hash of workspace, path and beginning of the body
 	 */
 	String request() {
-		return REQUEST + hash(this.workspace.getBytes(StandardCharsets.UTF_8),
-				this.path.getBytes(StandardCharsets.UTF_8), this.body);
+		byte[] hashedBody = (this.body.length <= MAX_HASHED_BYTES) ? this.body
+				: Arrays.copyOf(this.body, MAX_HASHED_BYTES);
+		return REQUEST
+				+ hash(this.workspace.getBytes(StandardCharsets.UTF_8), this.path.getBytes(StandardCharsets.UTF_8),
+						Integer.toString(this.body.length).getBytes(StandardCharsets.UTF_8), hashedBody);
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
@@ -81,7 +81,7 @@
 
 	private final RandomGenerator random;
 
-	private final AnsweredParts answeredParts;
+	private final AnsweredSubjects answeredSubjects;
 
 	private final Map<String, CrashObservation> ownCrashes = new HashMap<>();
 
@@ -100,13 +100,13 @@
 	private volatile SuspectVerdict verdict = SuspectVerdict.NONE;
 
 	SuspectFollower(String process, StoreTable table, TableFollower.ControlContext context, LongSupplier timeOfDayMs,
-			RandomGenerator random, AnsweredParts answeredParts) {
+			RandomGenerator random, AnsweredSubjects answeredSubjects) {
 		this.reportKey = SuspectRecord.GATEWAY_KEY + process;
 		this.table = table;
 		this.context = context;
 		this.timeOfDayMs = timeOfDayMs;
 		this.random = random;
-		this.answeredParts = answeredParts;
+		this.answeredSubjects = answeredSubjects;
 	}
 
 	private static Map<String, Long> bounded(int maxSize) {
@@ -158,7 +158,7 @@
 	void onCrash(String crashId, String service, Map<String, Integer> depths) {
 		Map<String, Integer> unanswered = new HashMap<>();
 		depths.forEach((subject, depth) -> {
-			if (this.answeredParts.contains(subject, this.context.clock().nowMs())) {
+			if (this.answeredSubjects.contains(subject, this.context.clock().nowMs())) {
 				this.ownAnsweredAtMs.put(subject, nowMs());
 			}
 			else {
@@ -242,7 +242,7 @@
 		Set.copyOf(this.ownConvictedUntilMs.keySet()).stream().filter(answered::contains).forEach(this::withdraw);
 		next.suspects()
 			.stream()
-			.filter((subject) -> this.answeredParts.contains(subject, this.context.clock().nowMs()))
+			.filter((subject) -> this.answeredSubjects.contains(subject, this.context.clock().nowMs()))
 			.forEach((subject) -> this.context.thread().run(() -> onAnswered(subject)));
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
@@ -25,7 +25,7 @@
 
 	private final TableFollower.ControlContext context;
 
-	private final AnsweredParts answeredParts = new AnsweredParts();
+	private final AnsweredSubjects answeredSubjects = new AnsweredSubjects();
 
 	private final SuspectFollower follower;
 
@@ -42,7 +42,7 @@
 	public SuspectGuard(String process, EngineControlClient client, XnioIoThread thread, StoreTable table,
 			TableFollower.ControlContext context, LongSupplier timeOfDayMs, RandomGenerator random) {
 		this.context = context;
-		this.follower = new SuspectFollower(process, table, context, timeOfDayMs, random, this.answeredParts);
+		this.follower = new SuspectFollower(process, table, context, timeOfDayMs, random, this.answeredSubjects);
 		this.detector = new CrashDetector(client, thread, context.meters(), this::onCrash);
 	}
 
@@ -73,7 +73,7 @@
 	 * @param subjects subjects of the request
 	 */
 	public void onAnswered(RequestSubjects subjects) {
-		this.answeredParts.add(subjects.parts(), this.context.clock().nowMs());
+		this.answeredSubjects.add(subjects, this.context.clock().nowMs());
 		SuspectVerdict verdict = this.follower.verdict();
 		Stream.of(verdict.suspects(), verdict.convicted())
 			.flatMap((named) -> subjects.in(named).stream())
