--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import io.anvilusher.gateway.http.ReadinessServer;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
+import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.logic.fleet.LapseGuard;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.logic.usage.WallClockEstimator;
@@ -127,6 +128,8 @@
 
 	private final RoleController roleController;
 
+	private final SuspectGuard suspects;
+
 	private Map<String, RegisteredServer> registeredServers = Map.of();
 
 	private volatile List<RegisteredServer> serversInUse = List.of();
@@ -175,9 +178,11 @@
 				new AvailableEngineControl(engineControl, this.serverRegistry::isAccepting, thread::execute),
 				() -> this.serversInUse, this.context);
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
+		this.suspects = new SuspectGuard(settings.process(), engineControl, thread, this.adapter.suspects(),
+				this.context, timeOfDayMs, random);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
-						this.meters, runCounter, announcements, this.clock, thread, random),
+						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
 				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
@@ -201,6 +206,7 @@
 		gateway.startFollowers();
 		gateway.usageReporter.ifPresent(UsageReporter::start);
 		gateway.roleController.start();
+		gateway.suspects.start();
 		gateway.dutyMembership.start();
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
--- a/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
@@ -46,6 +46,12 @@
 				Outcome.HELD_BACK);
 	}
 
+	// Sends no request, so a server that takes none may still be asked.
+	@Override
+	public CompletableFuture<Boolean> acceptsConnections(RegisteredServer server) {
+		return this.delegate.acceptsConnections(server);
+	}
+
 	private <T> CompletableFuture<T> callIfAccepting(RegisteredServer engine, Supplier<CompletableFuture<T>> call,
 			T heldBack) {
 		return CompletableFuture.supplyAsync(() -> this.accepting.test(engine), this.trafficThread)
--- a/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
@@ -20,6 +20,14 @@
 	 */
 	CompletableFuture<Optional<EngineReport>> report(RegisteredServer engine);
 
+	/**
+	 * Tries to open a new connection to a server.
+	 * @param server the server, which need not be an engine
+	 * @return whether the connection was opened, even if the server resets it afterwards;
+	 * completes normally in any case
+	 */
+	CompletableFuture<Boolean> acceptsConnections(RegisteredServer server);
+
 	/**
 	 * Orders an engine to change its role.
 	 * @param engine the engine
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -22,6 +22,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.placement.EnginePlacer;
@@ -70,6 +71,8 @@
 
 	private final EngineControlClient engineControl;
 
+	private final SuspectGuard suspects;
+
 	private final Meters meters;
 
 	private final RunCounter runs;
@@ -103,6 +106,7 @@
 		this.format = dependencies.format();
 		this.client = dependencies.client();
 		this.engineControl = dependencies.engineControl();
+		this.suspects = dependencies.suspects();
 		this.meters = dependencies.meters();
 		this.runs = dependencies.runs();
 		this.announcements = dependencies.announcements();
@@ -284,6 +288,10 @@
 		return this.client;
 	}
 
+	SuspectGuard suspects() {
+		return this.suspects;
+	}
+
 	Meters meters() {
 		return this.meters;
 	}
@@ -303,6 +311,7 @@
 	 * @param format header and body formats of the deployment
 	 * @param client sends requests to servers, on the traffic thread
 	 * @param engineControl asks engines for load reports, on the traffic thread
+	 * @param suspects keeps requests that crash servers away from them
 	 * @param meters the metrics of this process
 	 * @param runs counts the requests that servers have run, for the usage reports
 	 * @param announcements records what servers announce about themselves
@@ -311,8 +320,8 @@
 	 * @param random spreads the Retry-After delays
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
-			EngineControlClient engineControl, Meters meters, RunCounter runs, ServerAnnouncements announcements,
-			MonotonicClock clock, XnioIoThread thread, RandomGenerator random) {
+			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
+			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -316,6 +316,7 @@
 						this.request.input().route().targetMs(), nowMs);
 		});
 		countRun(nowMs);
+		this.dispatcher.suspects().onAnswered(this.request.input().subjects());
 		releasePrompt();
 		this.dispatcher.onCapacityFreed(this.request.input().service());
 	}
@@ -406,6 +407,9 @@
 			this.request.onNotRun(this, AttemptFailure.SERVER_UNREACHABLE, false);
 			return;
 		}
+		if (mayHaveRun() && !this.runCounted) {
+			this.dispatcher.suspects().onConnectionLost(this.trackedServer.server(), this.request.input().subjects());
+		}
 		this.request.onFailed(this, AttemptFailure.SERVER_CRASHED);
 	}
 
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -0,0 +1,145 @@
+package io.anvilusher.gateway.suspect;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.XnioIoThread;
+
+import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.gateway.control.EngineControlClient;
+import io.anvilusher.model.fleet.RegisteredServer;
+
+/**
+ * Tells crashes of servers from single connections that were lost: a server has crashed
+ * if it accepts no new connection after a loss. Runs on the traffic thread.
+ */
+final class CrashDetector {
+
+	private static final Logger LOGGER = LoggerFactory.getLogger(CrashDetector.class);
+
+	/**
+	 * Number of servers whose last crash is remembered; the oldest are forgotten first.
+	 */
+	private static final int MAX_CRASHES = 1_024;
+
+	/**
+	 * Number of subjects remembered for one crash: several for each request that a
+	 * gateway has at one server.
+	 */
+	private static final int MAX_SUBJECTS = 256;
+
+	/** Time until a process that ends has closed its sockets; a restart takes seconds. */
+	private static final long SECOND_PROBE_DELAY_MS = 100;
+
+	private final EngineControlClient client;
+
+	private final XnioIoThread thread;
+
+	private final Meters meters;
+
+	private final CrashListener listener;
+
+	private final Map<String, LostRequests> lostByServer = new LinkedHashMap<>();
+
+	/**
+	 * Creates a detector.
+	 * @param client asks servers whether they accept connections
+	 * @param thread the traffic thread
+	 * @param meters the metrics of this process
+	 * @param listener is notified of crashes
+	 */
+	CrashDetector(EngineControlClient client, XnioIoThread thread, Meters meters, CrashListener listener) {
+		this.client = client;
+		this.thread = thread;
+		this.meters = meters;
+		this.listener = listener;
+	}
+
+	/**
+	 * Records that the connection of a request was lost before the request had a result.
+	 * @param server the server
+	 * @param subjects subjects of the request
+	 */
+	void onConnectionLost(RegisteredServer server, RequestSubjects subjects) {
+		LostRequests lost = this.lostByServer.get(server.id());
+		if (lost != null && lost.server.isSameIncarnation(server)) {
+			lost.add(subjects);
+			if (lost.crashed) {
+				this.listener.onCrash(server, lost.depths());
+			}
+			return;
+		}
+		LostRequests first = new LostRequests(server);
+		first.add(subjects);
+		this.lostByServer.remove(server.id());
+		this.lostByServer.put(server.id(), first);
+		forgetOldest();
+		probe(first, true);
+	}
+
+	private void forgetOldest() {
+		Iterator<LostRequests> oldest = this.lostByServer.values().iterator();
+		while (this.lostByServer.size() > MAX_CRASHES) {
+			oldest.next();
+			oldest.remove();
+		}
+	}
+
+	private void probe(LostRequests lost, boolean first) {
+		this.client.acceptsConnections(lost.server)
+			.thenAcceptAsync((accepting) -> onProbed(lost, accepting, first), this.thread);
+	}
+
+	private void onProbed(LostRequests lost, boolean accepting, boolean first) {
+		this.meters.counter("anvilusher.server.probes", "outcome", accepting ? "accepting" : "crashed").increment();
+		if (accepting && first) {
+			// A process that ends may still have accepted the connection.
+			this.thread.executeAfter(() -> probe(lost, false), SECOND_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (accepting) {
+			this.lostByServer.remove(lost.server.id(), lost);
+			return;
+		}
+		lost.crashed = true;
+		LOGGER.atWarn()
+			.addKeyValue("server", lost.server.id())
+			.addKeyValue("service", lost.server.service())
+			.addKeyValue("lost_requests", lost.requests)
+			.addKeyValue("subjects", lost.depths.keySet())
+			.log("Server crashed while requests without a result were running");
+		this.listener.onCrash(lost.server, lost.depths());
+	}
+
+	private static final class LostRequests {
+
+		private final RegisteredServer server;
+
+		private final Map<String, Integer> depths = new LinkedHashMap<>();
+
+		private int requests;
+
+		private boolean crashed;
+
+		LostRequests(RegisteredServer server) {
+			this.server = server;
+		}
+
+		Map<String, Integer> depths() {
+			return Map.copyOf(this.depths);
+		}
+
+		void add(RequestSubjects lost) {
+			this.requests++;
+			if (this.depths.size() < MAX_SUBJECTS) {
+				lost.depths().forEach((subject, depth) -> this.depths.merge(subject, depth, Math::max));
+			}
+		}
+
+	}
+
+}
