Count a delay of the gateway once, and let late time-outs read first

Reading the change found that lasting lag was subtracted from the time of servers once a pass, so a slow server looked fast and a hanging one alive. Samples that contain a delay of the gateway's own are now left out, and silence starts again at most now. Time-outs of buffered calls (store, load reports, probes) read what has arrived before they act, as connections do. A failed listener no longer ends the measurement of the lag, a failed drain no longer hangs the process, and the last pass is within the grace period.

Test: repeatedDelaysOfTheGatewayDoNotHideAnEngineThatHangs.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
@@ -37,7 +37,7 @@
 		ResponseCollector collector = new ResponseCollector();
 		RunningCall running = this.client.start(call, collector);
 		collector.tooLong.thenRun(running::cancel);
-		Runnable cancelTimeout = this.client.after(timeoutMs, () -> {
+		Runnable cancelTimeout = this.client.afterReading(timeoutMs, () -> {
 			if (!collector.response.isDone()) {
 				collector.response.completeExceptionally(new IOException("No response within " + timeoutMs + " ms"));
 				running.cancel();
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -25,7 +25,6 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
@@ -147,21 +146,20 @@
 	}
 
 	private void connect(HttpCall call, XnioIoThread thread, ClientCall running) {
-		long timeoutAtMs = MonotonicClock.SYSTEM.nowMs() + CONNECT_TIMEOUT_MS;
-		XnioExecutor.Key timeout = thread.executeAfter(() -> onConnectTimeout(thread, running, timeoutAtMs),
-				CONNECT_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+		Runnable cancelTimeout = afterReading(thread, CONNECT_TIMEOUT_MS,
+				() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS));
 		UndertowClient.getInstance().connect(new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
-				timeout.remove();
+				cancelTimeout.run();
 				connection.addCloseListener((closed) -> removeIdleConnection(call.target(), connection));
 				connection.getIoThread().execute(() -> running.send(connection));
 			}
 
 			@Override
 			public void failed(IOException ex) {
-				timeout.remove();
+				cancelTimeout.run();
 				thread.execute(() -> running.fail(ex));
 			}
 
@@ -173,18 +171,6 @@
 					.getMap());
 	}
 
-	// If the timer is late, the thread was busy and may not have seen yet that the
-	// connection is open.
-	private static void onConnectTimeout(XnioIoThread thread, ClientCall running, long timeoutAtMs) {
-		long lateMs = MonotonicClock.SYSTEM.nowMs() - timeoutAtMs;
-		if (lateMs <= MAX_TIMER_DELAY_MS) {
-			running.onConnectTimeout(CONNECT_TIMEOUT_MS);
-			return;
-		}
-		thread.executeAfter(() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS + lateMs), MAX_TIMER_DELAY_MS,
-				TimeUnit.MILLISECONDS);
-	}
-
 	void onStarted(ClientCall call) {
 		this.runningCalls.add(call);
 		scheduleCheck();
@@ -228,6 +214,29 @@
 		return this.worker.getIoThread().executeAfter(task, delayMs, TimeUnit.MILLISECONDS)::remove;
 	}
 
+	/**
+	 * Runs the action of a time-out on one of the client's I/O threads. If the timer is
+	 * late, the thread was busy, and what has arrived is read first.
+	 * @param timeoutMs time until the action, in ms
+	 * @param action the action; it does nothing if what it waits for has happened
+	 * @return cancels the action
+	 */
+	Runnable afterReading(long timeoutMs, Runnable action) {
+		return afterReading(this.worker.getIoThread(), timeoutMs, action);
+	}
+
+	private static Runnable afterReading(XnioIoThread thread, long timeoutMs, Runnable action) {
+		long dueAtMs = MonotonicClock.SYSTEM.nowMs() + timeoutMs;
+		return thread.executeAfter(() -> {
+			if (MonotonicClock.SYSTEM.nowMs() - dueAtMs <= MAX_TIMER_DELAY_MS) {
+				action.run();
+			}
+			else {
+				thread.executeAfter(action, MAX_TIMER_DELAY_MS, TimeUnit.MILLISECONDS);
+			}
+		}, timeoutMs, TimeUnit.MILLISECONDS)::remove;
+	}
+
 	private @Nullable ClientConnection takeIdleConnection(URI target) {
 		Deque<IdleConnection> connections = this.idleConnections.get(target);
 		long nowMs = MonotonicClock.SYSTEM.nowMs();
--- a/adapters/src/main/java/io/anvilusher/adapters/process/GracefulShutdown.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/GracefulShutdown.java
@@ -33,9 +33,13 @@
 		}, "shutdown"));
 		awaitQuietly(stopRequested);
 		LOGGER.info("Asked to stop; finishing the work in progress");
-		drain.run();
-		LOGGER.info("Stopped");
-		drained.countDown();
+		try {
+			drain.run();
+			LOGGER.info("Stopped");
+		}
+		finally {
+			drained.countDown();
+		}
 	}
 
 	// Writes the log lines that are still queued. A shutdown hook of the logging library
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -96,7 +96,7 @@
 	private static final long SHUTDOWN_CALLS_MS = 100;
 
 	/** Longest wait for the traffic thread to finish what it has read. */
-	private static final long LAST_PASS_MS = 500;
+	private static final long LAST_PASS_MS = 200;
 
 	private final GatewaySettings settings;
 
@@ -264,7 +264,7 @@
 	 */
 	public void drain() {
 		this.draining = true;
-		long endMs = this.clock.nowMs() + (long) (this.settings.graceMs() * GRACE_SHARE);
+		long endMs = this.clock.nowMs() + (long) (this.settings.graceMs() * GRACE_SHARE) - LAST_PASS_MS;
 		try {
 			this.httpServer.drain(Math.min(DRAIN_ACCEPT_MS, this.settings.graceMs() / 2),
 					endMs - this.clock.nowMs() - SHUTDOWN_CALLS_MS);
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -107,7 +107,8 @@
 	 * @param delayMs duration of that time
 	 */
 	public void onObserverDelay(long delayMs) {
-		this.trackedById.values().forEach((tracked) -> tracked.onObserverDelay(delayMs));
+		long nowMs = this.clock.nowMs();
+		this.trackedById.values().forEach((tracked) -> tracked.onObserverDelay(delayMs, nowMs));
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -149,12 +149,11 @@
 	}
 
 	/**
-	 * Returns how long the server has taken so far.
-	 * @return milliseconds, without the time for which this gateway could not read the
-	 * response
+	 * Returns whether the time that the server took is known.
+	 * @return false if this gateway could not read responses for part of the time
 	 */
-	private long serverTimeMs() {
-		return Math.max(0, elapsedMs() - (this.trackedServer.observerDelayMs() - this.observerDelayAtStartMs));
+	private boolean isTimeKnown() {
+		return this.trackedServer.observerDelayMs() == this.observerDelayAtStartMs;
 	}
 
 	void pause() {
@@ -307,13 +306,15 @@
 	 */
 	void onFirstResult() {
 		long nowMs = this.dispatcher.nowMs();
-		this.trackedServer.health().onResponse(serverTimeMs());
+		this.trackedServer.health().onResponse(elapsedMs());
 		this.observerDelayAtEventMs = this.trackedServer.observerDelayMs();
 		this.request.input().head().prompt().ifPresent((prompt) -> {
 			this.trackedServer.onPromptPrefilled(prompt.sharedParts());
-			promptAttempt().trackedServer.window()
-				.onFirstEvent(promptAttempt().uncachedTokens, promptAttempt().serverTimeMs(),
-						this.request.input().route().targetMs(), nowMs);
+			if (promptAttempt().isTimeKnown() && isTimeKnown()) {
+				promptAttempt().trackedServer.window()
+					.onFirstEvent(promptAttempt().uncachedTokens, promptAttempt().elapsedMs(),
+							this.request.input().route().targetMs(), nowMs);
+			}
 		});
 		countRun(nowMs);
 		if (this.head != null && this.head.isSuccess()) {
@@ -330,11 +331,13 @@
 	void onPause(long pauseMs) {
 		long nowMs = this.dispatcher.nowMs();
 		int slots = this.trackedServer.server().slots();
-		long observerDelayMs = this.trackedServer.observerDelayMs() - this.observerDelayAtEventMs;
+		boolean delayed = this.trackedServer.observerDelayMs() != this.observerDelayAtEventMs;
 		this.observerDelayAtEventMs = this.trackedServer.observerDelayMs();
-		this.trackedServer.generationLimit()
-			.onPause(Math.max(0, pauseMs - observerDelayMs), this.request.input().route().pauseTargetMs(),
-					this.trackedServer.occupancy(nowMs, EnginePlacer.MAX_RUNNING_AGE_MS), slots, nowMs);
+		if (!delayed) {
+			this.trackedServer.generationLimit()
+				.onPause(pauseMs, this.request.input().route().pauseTargetMs(),
+						this.trackedServer.occupancy(nowMs, EnginePlacer.MAX_RUNNING_AGE_MS), slots, nowMs);
+		}
 	}
 
 	@Override
@@ -387,7 +390,7 @@
 			return;
 		}
 		PromptShape prompt = this.request.input().head().prompt().orElseThrow();
-		this.trackedServer.health().onResponse(serverTimeMs());
+		this.trackedServer.health().onResponse(elapsedMs());
 		this.trackedServer.onPromptPrefilled(prompt.sharedParts());
 		end();
 		this.dispatcher.format()
--- a/gateway/src/main/java/io/anvilusher/gateway/request/TrafficLagMonitor.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/TrafficLagMonitor.java
@@ -20,8 +20,8 @@
 
 	private static final long INTERVAL_MS = 50;
 
-	/** Shorter delays are within the precision of the timer. */
-	private static final long MIN_LAG_MS = 10;
+	/** Shorter delays are small compared with the times that are inferred. */
+	private static final long MIN_LAG_MS = 50;
 
 	/** A delay is logged from this length on. */
 	private static final long LOGGED_LAG_MS = 200;
@@ -70,7 +70,15 @@
 	}
 
 	private void measure() {
-		long nowMs = this.clock.nowMs();
+		try {
+			record(this.clock.nowMs());
+		}
+		finally {
+			schedule();
+		}
+	}
+
+	private void record(long nowMs) {
 		this.lagMs = Math.max(0, nowMs - this.dueAtMs);
 		if (this.lagMs >= MIN_LAG_MS) {
 			this.onLag.accept(this.lagMs);
@@ -84,7 +92,6 @@
 				.log("The traffic thread lags; requests are delayed by as much");
 			this.longestLagMs = 0;
 		}
-		schedule();
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -113,10 +113,11 @@
 
 	/**
 	 * Records that responses could not be read for a while.
-	 * @param delayMs duration of that time
+	 * @param delayMs duration of that time, which ends now
+	 * @param nowMs current time of the monotonic clock
 	 */
-	public void onObserverDelay(long delayMs) {
-		this.lastProgressMs += delayMs;
+	public void onObserverDelay(long delayMs, long nowMs) {
+		this.lastProgressMs = Math.min(nowMs, this.lastProgressMs + delayMs);
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/placement/ServerHealth.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ServerHealth.java
@@ -66,11 +66,12 @@
 
 	/**
 	 * Records that responses could not be read for a while.
-	 * @param delayMs duration of that time
+	 * @param delayMs duration of that time, which ends now
+	 * @param nowMs current time of the monotonic clock
 	 */
-	public void onObserverDelay(long delayMs) {
-		this.pendingSinceMs += delayMs;
-		this.lastSeenMs += delayMs;
+	public void onObserverDelay(long delayMs, long nowMs) {
+		this.pendingSinceMs = Math.min(nowMs, this.pendingSinceMs + delayMs);
+		this.lastSeenMs = Math.min(nowMs, this.lastSeenMs + delayMs);
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -230,17 +230,18 @@
 	/**
 	 * Records that the gateway could not read responses for a while. Silence during that
 	 * time is not held against the server.
-	 * @param delayMs duration of that time
+	 * @param delayMs duration of that time, which ends now
+	 * @param nowMs current time of the monotonic clock
 	 */
-	public void onObserverDelay(long delayMs) {
+	public void onObserverDelay(long delayMs, long nowMs) {
 		this.observerDelayMs += delayMs;
-		this.health.onObserverDelay(delayMs);
-		this.window.onObserverDelay(delayMs);
+		this.health.onObserverDelay(delayMs, nowMs);
+		this.window.onObserverDelay(delayMs, nowMs);
 	}
 
 	/**
 	 * Returns for how long the gateway could not read responses since the server is
-	 * known. The difference of two values is no delay of the server.
+	 * known.
 	 * @return milliseconds
 	 */
 	public long observerDelayMs() {
--- a/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.IntStream;
+import java.util.stream.LongStream;
 
 import org.testng.annotations.Test;
 
@@ -113,7 +114,7 @@
 		engine.window().onSent(9_000, 0);
 		assertTrue(engine.window().isStalled(TARGET_MS, 1_000));
 		assertTrue(engine.health().isUnhealthy(1_000));
-		engine.onObserverDelay(950);
+		engine.onObserverDelay(950, 1_000);
 		assertFalse(engine.window().isStalled(TARGET_MS, 1_000));
 		assertFalse(engine.health().isUnhealthy(1_000));
 		assertEquals(engine.observerDelayMs(), 950);
@@ -121,4 +122,17 @@
 		assertTrue(engine.health().isUnhealthy(2_000));
 	}
 
+	/** Guards against an engine that hangs unnoticed while the gateway is often late. */
+	@Test
+	public void repeatedDelaysOfTheGatewayDoNotHideAnEngineThatHangs() {
+		TrackedServer engine = decodeEngines(1).get(0);
+		engine.onSent(0);
+		engine.window().onSent(9_000, 0);
+		LongStream.rangeClosed(1, 10).forEach((count) -> engine.onObserverDelay(60, count * 100));
+		assertTrue(engine.window().isStalled(TARGET_MS, 1_000));
+		engine.onObserverDelay(5_000, 1_000);
+		assertFalse(engine.window().isStalled(TARGET_MS, 1_000 + TARGET_MS / 2));
+		assertTrue(engine.window().isStalled(TARGET_MS, 1_000 + TARGET_MS));
+	}
+
 }
