Hand out ports to tests that no other socket is assigned

Cause: FreePorts.next bound port 0, closed the socket and returned the port. Until the gateway bound it, the system could assign the same port to any other socket, or hand it out twice.

TestPorts takes ports below the range that the system assigns by itself, each in turn, and marks them for other test processes with a UDP socket. It replaces FreePorts, and the lock port of a deployment's sidecars was found in the old way too.

--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -1,7 +1,6 @@
 package io.anvilusher.deployment;
 
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,6 +19,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 
+import io.anvilusher.proofs.TestPorts;
 import io.anvilusher.standin.EngineStandIn;
 import io.anvilusher.standin.PlainStandIn;
 import io.anvilusher.standin.PlatformStandIn;
@@ -161,15 +161,8 @@
 		return sidecar;
 	}
 
-	private int lockPort(String server) throws IOException {
-		Integer assigned = this.lockPorts.get(server);
-		if (assigned != null) {
-			return assigned;
-		}
-		try (ServerSocket socket = new ServerSocket(0)) {
-			this.lockPorts.put(server, socket.getLocalPort());
-			return socket.getLocalPort();
-		}
+	private int lockPort(String server) {
+		return this.lockPorts.computeIfAbsent(server, (name) -> TestPorts.next());
 	}
 
 	/**
