Bound the memory of buffered responses, one by one and together

Cause: every buffered response could have 16 MiB, a limit meant for pages of the store, in a heap of 96 MB; nothing bounded all of them together.

An engine is not asked again while a call is in progress. Two gauges show the memory in use and the refusals.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
@@ -1,6 +1,5 @@
 package io.anvilusher.adapters.http;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -14,7 +13,7 @@
 public final class BufferingHttpClient {
 
 	/** Largest response body: several times the largest page of a store's table. */
-	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+	private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 	private final StreamingHttpClient client;
 
@@ -27,16 +26,29 @@
 	}
 
 	/**
-	 * Makes a call.
+	 * Makes a call whose response may be as long as a page of a store's table.
 	 * @param call the call
 	 * @param timeoutMs maximum time until the end of the response, in ms; the call is
 	 * cancelled after it
 	 * @return the response; completes exceptionally with an {@link IOException}
 	 */
 	public CompletableFuture<HttpCallResponse> call(HttpCall call, long timeoutMs) {
-		ResponseCollector collector = new ResponseCollector();
+		return call(call, timeoutMs, MAX_BODY_BYTES);
+	}
+
+	/**
+	 * Makes a call.
+	 * @param call the call
+	 * @param timeoutMs maximum time until the end of the response, in ms; the call is
+	 * cancelled after it
+	 * @param maxBodyBytes maximum size of the response body, in bytes; the call is
+	 * cancelled beyond it
+	 * @return the response; completes exceptionally with an {@link IOException}
+	 */
+	public CompletableFuture<HttpCallResponse> call(HttpCall call, long timeoutMs, int maxBodyBytes) {
+		ResponseCollector collector = new ResponseCollector(new BodyBuffer(maxBodyBytes, this.client.memory().open()));
 		RunningCall running = this.client.start(call, collector);
-		collector.tooLong.thenRun(running::cancel);
+		collector.rejected.thenRun(running::cancel);
 		Runnable cancelTimeout = this.client.afterReading(timeoutMs, () -> {
 			if (!collector.response.isDone()) {
 				collector.response.completeExceptionally(new IOException("No response within " + timeoutMs + " ms"));
@@ -51,14 +63,18 @@
 
 		private final CompletableFuture<HttpCallResponse> response = new CompletableFuture<>();
 
-		private final CompletableFuture<Void> tooLong = new CompletableFuture<>();
+		private final CompletableFuture<Void> rejected = new CompletableFuture<>();
 
-		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+		private final BodyBuffer body;
 
 		private int status;
 
 		private List<HttpHeader> headers = List.of();
 
+		ResponseCollector(BodyBuffer body) {
+			this.body = body;
+		}
+
 		@Override
 		public void onHead(int responseStatus, List<HttpHeader> responseHeaders, boolean framed) {
 			this.status = responseStatus;
@@ -67,23 +83,30 @@
 
 		@Override
 		public void onData(ByteBuffer data) {
-			if (this.body.size() + data.remaining() > MAX_BODY_BYTES) {
-				this.response.completeExceptionally(new IOException("Response exceeds " + MAX_BODY_BYTES + " bytes"));
-				this.tooLong.complete(null);
+			if (this.response.isDone()) {
+				data.position(data.limit());
 				return;
 			}
-			byte[] bytes = new byte[data.remaining()];
-			data.get(bytes);
-			this.body.writeBytes(bytes);
+			int sizeBytes = this.body.sizeBytes() + data.remaining();
+			BodyBuffer.Result result = this.body.add(data);
+			if (result != BodyBuffer.Result.ADDED) {
+				this.body.release();
+				this.response.completeExceptionally(
+						new IOException("Response of " + sizeBytes + " bytes or more is rejected: " + result));
+				this.rejected.complete(null);
+			}
 		}
 
 		@Override
 		public void onEnd() {
-			this.response.complete(new HttpCallResponse(this.status, this.headers, this.body.toByteArray()));
+			byte[] complete = this.body.take();
+			this.body.release();
+			this.response.complete(new HttpCallResponse(this.status, this.headers, complete));
 		}
 
 		@Override
 		public void onFailure(boolean sent, IOException cause) {
+			this.body.release();
 			this.response.completeExceptionally(cause);
 		}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -29,6 +29,7 @@
 import org.xnio.XnioWorker;
 
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.logic.admission.MemoryBudget;
 
 /**
  * Makes HTTP calls over Undertow's client. Responses are passed on as they arrive, and
@@ -75,12 +76,15 @@
 
 	private volatile boolean closed;
 
-	private StreamingHttpClient(XnioWorker worker) {
+	private final MemoryBudget memory;
+
+	private StreamingHttpClient(XnioWorker worker, MemoryBudget memory) {
 		this.worker = worker;
+		this.memory = memory;
 	}
 
 	/**
-	 * Creates a client.
+	 * Creates a client whose responses in memory use a fixed share of the heap.
 	 * @param name name of its I/O threads
 	 * @param ioThreads number of its I/O threads
 	 * @return the client
@@ -95,7 +99,7 @@
 					.set(Options.WORKER_TASK_MAX_THREADS, 1)
 					.set(Options.TCP_NODELAY, true)
 					.set(Options.THREAD_DAEMON, true)
-					.getMap()));
+					.getMap()), MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
 		}
 		catch (IOException ex) {
 			throw new IllegalStateException("Cannot start the I/O threads of the HTTP client", ex);
@@ -106,10 +110,11 @@
 	 * Creates a client on the I/O threads of a server, so that a request and the call
 	 * made for it can be handled by the same thread.
 	 * @param worker worker that owns the threads; {@link #close()} shuts it down
+	 * @param memory bounds the responses in memory
 	 * @return the client
 	 */
-	public static StreamingHttpClient on(XnioWorker worker) {
-		return new StreamingHttpClient(worker);
+	public static StreamingHttpClient on(XnioWorker worker, MemoryBudget memory) {
+		return new StreamingHttpClient(worker, memory);
 	}
 
 	/**
@@ -260,6 +265,10 @@
 		}
 	}
 
+	MemoryBudget memory() {
+		return this.memory;
+	}
+
 	PooledByteBuffer allocate() {
 		return this.buffers.allocate();
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -45,6 +45,7 @@
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
 import io.anvilusher.gateway.suspect.SuspectGuard;
+import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.fleet.LapseGuard;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.logic.usage.WallClockEstimator;
@@ -150,7 +151,10 @@
 				.set(Options.TCP_NODELAY, true)
 				.set(Options.THREAD_DAEMON, true)
 				.getMap());
-		StreamingHttpClient client = StreamingHttpClient.on(this.worker);
+		MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
+		this.meters.gauge("anvilusher.memory.held.bytes", memory, MemoryBudget::heldBytes);
+		this.meters.gauge("anvilusher.memory.refusals", memory, MemoryBudget::refusals);
+		StreamingHttpClient client = StreamingHttpClient.on(this.worker, memory);
 		this.adapter = factory.create(settings, client);
 		XnioIoThread thread = this.worker.getIoThread();
 		Random random = new Random();
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -93,6 +93,8 @@
 
 	private final Map<String, ServiceState> serviceStates = new HashMap<>();
 
+	private final Map<TrackedServer, CompletableFuture<Void>> runningProbes = new HashMap<>();
+
 	private boolean checkScheduled;
 
 	/**
@@ -174,7 +176,21 @@
 		});
 	}
 
+	// An engine whose reports take long is not asked again meanwhile.
 	private CompletableFuture<Void> probe(TrackedServer engine) {
+		CompletableFuture<Void> running = this.runningProbes.get(engine);
+		if (running != null) {
+			return running;
+		}
+		CompletableFuture<Void> started = requestReport(engine);
+		if (!started.isDone()) {
+			this.runningProbes.put(engine, started);
+			started.whenComplete((ignored, failure) -> this.runningProbes.remove(engine));
+		}
+		return started;
+	}
+
+	private CompletableFuture<Void> requestReport(TrackedServer engine) {
 		return this.engineControl.report(engine.server()).thenAccept((report) -> {
 			String outcome = report.isPresent() ? "report" : "none";
 			this.meters.counter("anvilusher.engine.probes", "outcome", outcome).increment();
