Count a request as harmless only after its whole response

Cause: only requests without a result were reported as running at a crash, and the first event of a stream acquitted the request and its prompt parts for ten minutes.

Evidence: on the old code the failing test has no log line of a crash, although eight servers closed and accepted no new connection.

Change: a request is at a crash until its response is whole, and only a whole successful response acquits it. A server that goes dark closes no connection, so a request that ends while its server is silent is looked at too: the server has crashed if it accepts no new connection or was replaced.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -22,6 +22,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.WireFormat;
@@ -140,6 +141,16 @@
 			.orElseGet(() -> this.plainPlacer.place(servers, excludedServers, nowMs()));
 	}
 
+	/**
+	 * Records that a request ended while its server sent nothing.
+	 * @param server the server
+	 * @param subjects subjects of the request
+	 */
+	void onServerSilent(TrackedServer server, RequestSubjects subjects) {
+		boolean gone = this.serverRegistry.tracked(server.server()).isEmpty();
+		this.suspects.onSilent(server.server(), subjects, gone);
+	}
+
 	boolean isAccepting(TrackedServer server) {
 		return this.serverRegistry.servers(server.server().service()).contains(server);
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -350,7 +350,7 @@
 		this.mayHaveRun |= active != null && active.mayHaveRun();
 		refuse(this.mayHaveRun ? RefusalReason.DEADLINE_EXCEEDED : RefusalReason.QUEUE_TIMEOUT);
 		if (active != null) {
-			active.cancel();
+			active.abandon();
 		}
 	}
 
@@ -360,7 +360,7 @@
 		}
 		finish("caller gone", 0);
 		if (this.currentAttempt != null) {
-			this.currentAttempt.cancel();
+			this.currentAttempt.abandon();
 		}
 	}
 
@@ -443,6 +443,7 @@
 			onFailed(attempt, AttemptFailure.ANSWER_CUT);
 			return;
 		}
+		attempt.onWholeResponse();
 		finish("answered", this.streamHead.status());
 		this.response.endStream();
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -179,6 +179,18 @@
 		}
 	}
 
+	/**
+	 * Cancels the attempt because its request has ended without a whole response. If the
+	 * server is silent, it may have gone dark, which closes no connection.
+	 */
+	void abandon() {
+		if (this.sendStarted && !this.ended && !isLeaving()
+				&& this.trackedServer.health().isUnresponsive(this.dispatcher.nowMs())) {
+			this.dispatcher.onServerSilent(this.trackedServer, this.request.input().subjects());
+		}
+		cancel();
+	}
+
 	@Override
 	public void onSending() {
 		this.sendStarted = true;
@@ -317,11 +329,19 @@
 			}
 		});
 		countRun(nowMs);
+		releasePrompt();
+		this.dispatcher.onCapacityFreed(this.request.input().service());
+	}
+
+	/**
+	 * Records that the server has sent its whole response, which shows that the request
+	 * does not crash it. The first event of a stream shows nothing, since the server may
+	 * crash after it.
+	 */
+	void onWholeResponse() {
 		if (this.head != null && this.head.isSuccess()) {
 			this.dispatcher.suspects().onAnswered(this.request.input().subjects());
 		}
-		releasePrompt();
-		this.dispatcher.onCapacityFreed(this.request.input().service());
 	}
 
 	/**
@@ -380,6 +400,7 @@
 			return;
 		}
 		onFirstResult();
+		onWholeResponse();
 		end();
 		this.request.onCompleteResponse(this, response, this.bufferedBody.toByteArray());
 	}
@@ -412,13 +433,16 @@
 			this.request.onNotRun(this, AttemptFailure.SERVER_UNREACHABLE, false);
 			return;
 		}
-		boolean leaving = this.trackedServer.server().draining() || this.trackedServer.availability().isLeaving();
-		if (!this.runCounted && !leaving) {
+		if (!isLeaving()) {
 			this.dispatcher.suspects().onConnectionLost(this.trackedServer.server(), this.request.input().subjects());
 		}
 		this.request.onFailed(this, AttemptFailure.SERVER_CRASHED);
 	}
 
+	private boolean isLeaving() {
+		return this.trackedServer.server().draining() || this.trackedServer.availability().isLeaving();
+	}
+
 	private void releasePrompt() {
 		if (!this.promptReleased) {
 			this.promptReleased = true;
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -10,12 +10,14 @@
 import org.xnio.XnioIoThread;
 
 import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.model.fleet.RegisteredServer;
 
 /**
- * Tells crashes of servers from single connections that were lost: a server has crashed
- * if it accepts no new connection after a loss. Runs on the traffic thread.
+ * Tells crashes of servers from single connections that were lost and from servers that
+ * are only slow: a server has crashed if it accepts no new connection after a loss or
+ * during its silence, or if it was replaced meanwhile. Runs on the traffic thread.
  */
 final class CrashDetector {
 
@@ -35,41 +37,80 @@
 	/** Time until a process that ends has closed its sockets; a restart takes seconds. */
 	private static final long SECOND_PROBE_DELAY_MS = 100;
 
+	/** A silent server that accepted a connection is not asked again for this time. */
+	private static final long SILENT_PROBE_INTERVAL_MS = 2_000;
+
 	private final EngineControlClient client;
 
 	private final XnioIoThread thread;
 
+	private final MonotonicClock clock;
+
 	private final Meters meters;
 
 	private final CrashListener listener;
 
 	private final Map<String, LostRequests> lostByServer = new LinkedHashMap<>();
 
+	private final Map<String, Long> silentAcceptedAtMs = new LinkedHashMap<>() {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > MAX_CRASHES;
+		}
+
+	};
+
 	/**
 	 * Creates a detector.
 	 * @param client asks servers whether they accept connections
 	 * @param thread the traffic thread
+	 * @param clock the monotonic clock
 	 * @param meters the metrics of this process
 	 * @param listener is notified of crashes
 	 */
-	CrashDetector(EngineControlClient client, XnioIoThread thread, Meters meters, CrashListener listener) {
+	CrashDetector(EngineControlClient client, XnioIoThread thread, MonotonicClock clock, Meters meters,
+			CrashListener listener) {
 		this.client = client;
 		this.thread = thread;
+		this.clock = clock;
 		this.meters = meters;
 		this.listener = listener;
 	}
 
 	/**
-	 * Records that the connection of a request was lost before the request had a result.
+	 * Records that the connection of a request was lost before the end of the response.
 	 * @param server the server
 	 * @param subjects subjects of the request
 	 */
 	void onConnectionLost(RegisteredServer server, RequestSubjects subjects) {
-		LostRequests lost = this.lostByServer.get(server.id());
-		if (lost != null && lost.server.isSameIncarnation(server)) {
-			lost.add(subjects);
-			if (lost.crashed) {
-				this.listener.onCrash(server, lost.depths());
+		onLost(server, subjects, false);
+	}
+
+	/**
+	 * Records that a request ended without a whole response while its server was silent.
+	 * @param server the server
+	 * @param subjects subjects of the request
+	 * @param gone whether this incarnation of the server is no longer registered. Another
+	 * one may accept connections at its address then.
+	 */
+	void onSilent(RegisteredServer server, RequestSubjects subjects, boolean gone) {
+		Long acceptedAtMs = this.silentAcceptedAtMs.get(server.id());
+		boolean justAccepted = acceptedAtMs != null && this.clock.nowMs() - acceptedAtMs < SILENT_PROBE_INTERVAL_MS;
+		if (gone || !justAccepted) {
+			onLost(server, subjects, gone);
+		}
+	}
+
+	private void onLost(RegisteredServer server, RequestSubjects subjects, boolean gone) {
+		LostRequests known = this.lostByServer.get(server.id());
+		if (known != null && known.server.isSameIncarnation(server)) {
+			known.add(subjects);
+			if (gone && !known.crashed) {
+				confirm(known);
+			}
+			else if (known.crashed) {
+				this.listener.onCrash(server, known.depths());
 			}
 			return;
 		}
@@ -78,7 +119,12 @@
 		this.lostByServer.remove(server.id());
 		this.lostByServer.put(server.id(), first);
 		forgetOldest();
-		probe(first, true);
+		if (gone) {
+			confirm(first);
+		}
+		else {
+			probe(first, true);
+		}
 	}
 
 	private void forgetOldest() {
@@ -101,17 +147,25 @@
 			this.thread.executeAfter(() -> probe(lost, false), SECOND_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
 			return;
 		}
+		if (lost.crashed) {
+			return;
+		}
 		if (accepting) {
 			this.lostByServer.remove(lost.server.id(), lost);
+			this.silentAcceptedAtMs.put(lost.server.id(), this.clock.nowMs());
 			return;
 		}
+		confirm(lost);
+	}
+
+	private void confirm(LostRequests lost) {
 		lost.crashed = true;
 		LOGGER.atWarn()
 			.addKeyValue("server", lost.server.id())
 			.addKeyValue("service", lost.server.service())
 			.addKeyValue("lost_requests", lost.requests)
 			.addKeyValue("subjects", lost.depths.keySet())
-			.log("Server crashed while requests without a result were running");
+			.log("Server crashed while requests were running");
 		this.listener.onCrash(lost.server, lost.depths());
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
@@ -43,7 +43,7 @@
 			TableFollower.ControlContext context, LongSupplier timeOfDayMs, RandomGenerator random) {
 		this.context = context;
 		this.follower = new SuspectFollower(process, table, context, timeOfDayMs, random, this.answeredSubjects);
-		this.detector = new CrashDetector(client, thread, context.meters(), this::onCrash);
+		this.detector = new CrashDetector(client, thread, context.clock(), context.meters(), this::onCrash);
 	}
 
 	/**
@@ -59,8 +59,8 @@
 	}
 
 	/**
-	 * Records that the connection of a request to a server was lost before the request
-	 * had a result.
+	 * Records that the connection of a request to a server was lost before the end of the
+	 * response.
 	 * @param server the server
 	 * @param subjects subjects of the request
 	 */
@@ -69,7 +69,17 @@
 	}
 
 	/**
-	 * Records the first event of a stream or a complete response of a server.
+	 * Records that a request ended without a whole response while its server was silent.
+	 * @param server the server
+	 * @param subjects subjects of the request
+	 * @param gone whether this incarnation of the server is no longer registered
+	 */
+	public void onSilent(RegisteredServer server, RequestSubjects subjects, boolean gone) {
+		this.detector.onSilent(server, subjects, gone);
+	}
+
+	/**
+	 * Records the whole response of a server.
 	 * @param subjects subjects of the request
 	 */
 	public void onAnswered(RequestSubjects subjects) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/ServerHealth.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/ServerHealth.java
@@ -121,7 +121,12 @@
 		return nowMs < this.backoffUntilMs || isUnresponsive(nowMs);
 	}
 
-	private boolean isUnresponsive(long nowMs) {
+	/**
+	 * Returns whether the server is silent.
+	 * @param nowMs current time of the monotonic clock
+	 * @return whether it has sent nothing for too long while requests are in progress
+	 */
+	public boolean isUnresponsive(long nowMs) {
 		if (this.pending == 0) {
 			return false;
 		}
--- a/logic/src/main/java/io/anvilusher/logic/suspect/CrashObservation.java
+++ b/logic/src/main/java/io/anvilusher/logic/suspect/CrashObservation.java
@@ -13,8 +13,8 @@
  * @param service service of the server
  * @param observedAtMs time of the observation, in ms since 1970
  * @param depths the subjects (prompt parts and whole requests) that this gateway had at
- * the server without a result, each with its position in the prompt: fewer requests share
- * a deeper part. The depth of a whole request is {@link #REQUEST_DEPTH}.
+ * the server without a whole response, each with its position in the prompt: fewer
+ * requests share a deeper part. The depth of a whole request is {@link #REQUEST_DEPTH}.
  */
 public record CrashObservation(String crashId, String service, long observedAtMs, Map<String, Integer> depths) {
 
