Keep subjects of several crashes in the reports of gateways

A report names at most 32 subjects of a crash. Streams in progress count as running now, so more requests are at a crash than that, and those left out were always the same: the last ones by name. A request that crashes servers could be among them, and was then never convicted.

Each gateway keeps all subjects of its own crashes and decides from them; a report names those that were at several known crashes first.

SuspectFollowerTests.repeatedRequestIsConvictedHoweverManyOthersWere- Running failed before (nothing convicted) and passes.

--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
@@ -167,22 +167,10 @@
 		});
 		CrashObservation observed = new CrashObservation(crashId, service, nowMs(), unanswered);
 		this.ownCrashes.merge(crashId, observed, CrashObservation::merge);
-		this.ownCrashes.computeIfPresent(crashId, (id, crash) -> withoutExcess(crash));
 		decide();
 		publish();
 	}
 
-	// Drops whole requests first: parts crash more servers, as more requests have them.
-	private static CrashObservation withoutExcess(CrashObservation crash) {
-		Map<String, Integer> kept = crash.depths()
-			.entrySet()
-			.stream()
-			.sorted(Map.Entry.<String, Integer>comparingByValue().thenComparing(Map.Entry.comparingByKey()))
-			.limit(MAX_SUBJECTS)
-			.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue));
-		return new CrashObservation(crash.crashId(), crash.service(), crash.observedAtMs(), kept);
-	}
-
 	/**
 	 * Records that a server answered a subject that is suspected or convicted.
 	 * @param subject the subject
@@ -314,8 +302,35 @@
 				new HashSet<>(this.ownAnsweredAtMs.keySet()));
 	}
 
+	// The report as the other gateways get it. Keeps subjects that were at several
+	// crashes. Of the rest, drops whole requests first: parts crash more servers, as more
+	// requests have them.
+	private CrashReport sharedReport() {
+		CrashReport own = report();
+		Map<String, Set<String>> crashesBySubject = new HashMap<>();
+		Stream.concat(Stream.of(own), otherReports())
+			.flatMap((report) -> report.crashes().stream())
+			.forEach((crash) -> crash.subjects()
+				.forEach((subject) -> crashesBySubject.computeIfAbsent(subject, (key) -> new HashSet<>())
+					.add(crash.crashId())));
+		Comparator<Map.Entry<String, Integer>> mostSuspectFirst = Comparator
+			.comparingInt((entry) -> -crashesBySubject.get(entry.getKey()).size());
+		List<CrashObservation> crashes = own.crashes()
+			.stream()
+			.map((crash) -> new CrashObservation(crash.crashId(), crash.service(), crash.observedAtMs(),
+					crash.depths()
+						.entrySet()
+						.stream()
+						.sorted(mostSuspectFirst.thenComparing(Map.Entry.comparingByValue())
+							.thenComparing(Map.Entry.comparingByKey()))
+						.limit(MAX_SUBJECTS)
+						.collect(Collectors.toMap(Map.Entry::getKey, Map.Entry::getValue))))
+			.toList();
+		return new CrashReport(crashes, own.answered());
+	}
+
 	private void publish() {
-		CrashReport report = report();
+		CrashReport report = sharedReport();
 		if (!this.sharedKnown || this.publishing || report.equals(this.published)) {
 			return;
 		}
