Require a key although the last one was withdrawn

Cause: a routing table kept only the map from keys to workspaces, so a configuration whose workspaces have no keys left looked like one without workspaces, which needs no keys.

Evidence: the log has the version in force with 0 keys before the requests run without a workspace.

Change: the routing table says whether it requires keys, which it does whenever the configuration lists workspaces.

--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -168,7 +168,7 @@
 			return;
 		}
 		Optional<String> workspace = head.key().map(table.workspaceByKey()::get);
-		if (workspace.isEmpty() && !route.get().allowsAnonymous() && !table.workspaceByKey().isEmpty()) {
+		if (workspace.isEmpty() && !route.get().allowsAnonymous() && table.requiresKeys()) {
 			refuse(exchange, head, head.key().isEmpty() ? RefusalReason.KEY_MISSING : RefusalReason.KEY_UNKNOWN,
 					OptionalLong.empty());
 			return;
--- a/gateway/src/main/java/io/anvilusher/gateway/request/RequestInput.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/RequestInput.java
@@ -19,7 +19,7 @@
  * @param route the matched route
  * @param service the service selected by the route's traffic split
  * @param workspace the workspace of the caller's key; empty if no known key was given,
- * which only a route open to all or a routing table without keys allows
+ * which only a route open to all or a routing table that requires no keys allows
  * @param tableVersion version of the routing table used for the request
  * @param arrivedAtMs time at which the headers were read, by the monotonic clock
  */
--- a/model/src/main/java/io/anvilusher/model/routing/RoutingTable.java
+++ b/model/src/main/java/io/anvilusher/model/routing/RoutingTable.java
@@ -9,16 +9,22 @@
  * @param version version of the table; a higher version replaces all lower ones
  * @param routes the routes
  * @param services the services by name
+ * @param requiresKeys whether requests need the key of a workspace, unless their route is
+ * open to all. A table of which all keys were withdrawn still requires one.
  * @param workspaceByKey the workspaces by key
  * @param limits limits on requests from callers
  */
-public record RoutingTable(long version, List<Route> routes, Map<String, ServiceProfile> services,
+public record RoutingTable(long version, List<Route> routes, Map<String, ServiceProfile> services, boolean requiresKeys,
 		Map<String, String> workspaceByKey, CallerLimits limits) {
 
 	public RoutingTable {
 		routes = List.copyOf(routes);
 		services = Map.copyOf(services);
 		workspaceByKey = Map.copyOf(workspaceByKey);
+		if (!requiresKeys && !workspaceByKey.isEmpty()) {
+			throw new IllegalArgumentException(
+					"version " + version + " has " + workspaceByKey.size() + " keys, so it must require one");
+		}
 	}
 
 	/**
