Read the crash reports of an unavailable store less often

Cause: the bound was set for two tables that are read. The table of crash reports is a third one since, retried every 450 ms as well, so 13 reads, 7 renewals of the group and the writes of usage counts reach the bound even on time, and a pause of the test that ends late exceeds it.

Change: the longest delay between retries belongs to each table; that of the crash reports is 1.8 s, since a gateway decides from its own crashes meanwhile. The test and its bound are as they were.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -78,6 +78,12 @@
 	 */
 	private static final long TABLE_DELAY_MS = 50;
 
+	/**
+	 * Longest delay before a failed read is retried: a fraction of the time within which
+	 * the newest state must be in use after an outage of the store.
+	 */
+	private static final long MAX_RETRY_DELAY_MS = 450;
+
 	/**
 	 * Time after SIGTERM during which all new requests on open connections are still
 	 * accepted. Callers count on 3 s from the signal, and a busy process handles it late.
@@ -221,10 +227,11 @@
 		long waitMs = (long) (READ_WAIT_SHARE * this.settings.catchUpMs());
 		long serversDelayMs = (long) (SERVERS_DELAY_SHARE * this.settings.drainMs());
 		new TableFollower<RoutingTable>("routes", this.adapter.routingTables(), this.adapter::readRoutingTable,
-				this::onRoutingTables, this.context, new TableFollower.PollIntervals(TABLE_DELAY_MS, waitMs))
+				this::onRoutingTables, this.context,
+				new TableFollower.PollIntervals(TABLE_DELAY_MS, waitMs, MAX_RETRY_DELAY_MS))
 			.start();
 		new TableFollower<>("servers", this.adapter.servers(), this.adapter::readServer, new ServerListener(),
-				this.context, new TableFollower.PollIntervals(serversDelayMs, waitMs))
+				this.context, new TableFollower.PollIntervals(serversDelayMs, waitMs, MAX_RETRY_DELAY_MS))
 			.start();
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -30,12 +30,6 @@
 	 */
 	private static final long FIRST_RETRY_DELAY_MS = 150;
 
-	/**
-	 * Maximum delay between retries: a fraction of the time within which the newest state
-	 * must be in use after an outage of the store.
-	 */
-	private static final long MAX_RETRY_DELAY_MS = 450;
-
 	private final String name;
 
 	private final StoreTable table;
@@ -147,7 +141,8 @@
 					this.name, reason, this.nextOffset);
 		}
 		this.listener.onUnreachable(this.clock.nowMs());
-		this.thread.after(Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS << Math.min(this.failures, 10)), retry);
+		long delayMs = Math.min(this.intervals.maxRetryDelayMs(), FIRST_RETRY_DELAY_MS << Math.min(this.failures, 10));
+		this.thread.after(delayMs, retry);
 		this.failures++;
 	}
 
@@ -209,8 +204,9 @@
 	 *
 	 * @param pauseMs pause between two reads of changes, in ms
 	 * @param waitMs longest wait of one read for a change, in ms
+	 * @param maxRetryDelayMs longest delay before a failed read is retried, in ms
 	 */
-	public record PollIntervals(long pauseMs, long waitMs) {
+	public record PollIntervals(long pauseMs, long waitMs, long maxRetryDelayMs) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
@@ -50,6 +50,12 @@
 	/** Longest wait of one read for a change. Crashes are rare. */
 	private static final long READ_WAIT_MS = 8_000;
 
+	/**
+	 * Longest delay before a failed read is retried; meanwhile each gateway decides from
+	 * its own crashes.
+	 */
+	private static final long MAX_READ_RETRY_DELAY_MS = 1_800;
+
 	/** Delay before a failed write is retried. */
 	private static final long RETRY_DELAY_MS = 600;
 
@@ -122,7 +128,7 @@
 
 	void start() {
 		new TableFollower<>("suspects", this.table, SuspectRecord::decode, this, this.context,
-				new TableFollower.PollIntervals(READ_PAUSE_MS, READ_WAIT_MS))
+				new TableFollower.PollIntervals(READ_PAUSE_MS, READ_WAIT_MS, MAX_READ_RETRY_DELAY_MS))
 			.start();
 		this.context.thread().every(CHECK_INTERVAL_MS, this::decide);
 	}
