Bound the memory of responses to callers' requests together

Callers would see (report of another operator): one faulty server sends bytes without end, the gateway keeps them and runs out of memory, and the requests of all its callers end with it.

Cause: bodies, incomplete events and heads were each bounded for one response, in sum not at all. Heads were checked by a timer only.

Change: all of them take memory from the budget of the process; beyond it a response fails like a cut one, and a stream with a slow caller waits. Heads and framing are checked with each read, without a timer. Calls that free a KV cache have a time-out.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -40,17 +40,6 @@
 	 */
 	private static final double KEEP_ALIVE_REUSE_FRACTION = 0.8;
 
-	/**
-	 * Most bytes of a response that may belong to its head or to the framing of its body:
-	 * several times the largest head that servers send.
-	 */
-	private static final long MAX_OVERHEAD_BYTES = 256 * 1024;
-
-	/**
-	 * Most bytes of framing for each byte of the body; a chunk of one byte has five.
-	 */
-	private static final long MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
-
 	private final StreamingHttpClient client;
 
 	private final HttpCall call;
@@ -59,7 +48,7 @@
 
 	private final XnioIoThread thread;
 
-	private @Nullable ClientConnection connection;
+	private @Nullable ServerConnection connection;
 
 	private @Nullable StreamSourceChannel responseChannel;
 
@@ -75,10 +64,6 @@
 
 	private boolean cancelled;
 
-	private long bytesReadBefore;
-
-	private long bodyBytes;
-
 	ClientCall(StreamingHttpClient client, HttpCall call, HttpCallListener listener, XnioIoThread thread) {
 		this.client = client;
 		this.call = call;
@@ -86,22 +71,21 @@
 		this.thread = thread;
 	}
 
-	void send(ClientConnection opened) {
+	void send(ServerConnection opened) {
 		if (this.cancelled) {
-			IoUtils.safeClose(opened);
+			IoUtils.safeClose(opened.connection());
 			fail(new IOException("Cancelled before it was sent"));
 			return;
 		}
 		this.connection = opened;
-		if (!opened.isOpen()) {
+		if (!opened.connection().isOpen()) {
 			fail(new IOException("Connection closed before the request was sent"));
 			return;
 		}
 		this.requestSent = true;
-		this.bytesReadBefore = opened.getStatistics().getRead();
-		this.client.onStarted(this);
+		opened.input().onRequest();
 		this.listener.onSending();
-		opened.sendRequest(request(), new ClientCallback<>() {
+		opened.connection().sendRequest(request(), new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientExchange exchange) {
@@ -184,6 +168,9 @@
 		if (this.ended) {
 			return;
 		}
+		if (this.connection != null) {
+			this.connection.input().onHead();
+		}
 		ClientResponse response = exchange.getResponse();
 		List<HttpHeader> headers = new ArrayList<>();
 		for (HeaderValues values : response.getResponseHeaders()) {
@@ -233,7 +220,9 @@
 					return;
 				}
 				buffer.flip();
-				this.bodyBytes += count;
+				if (this.connection != null) {
+					this.connection.input().onBody(count);
+				}
 				this.listener.onData(buffer);
 			}
 			source.suspendReads();
@@ -248,26 +237,34 @@
 			return;
 		}
 		this.ended = true;
-		this.client.onEnded(this);
+		if (this.connection != null) {
+			this.connection.input().onEnd();
+		}
 		if (this.connection != null && this.requestBodyWritten) {
 			this.client.returnToPool(this.call.target(), this.connection, this.keepAliveMs);
 		}
 		else {
 			// The request body was not sent completely, so the server would read the next
 			// request as the rest of it.
-			IoUtils.safeClose(this.connection);
+			close();
 		}
 		this.listener.onEnd();
 	}
 
+	private void close() {
+		if (this.connection != null) {
+			IoUtils.safeClose(this.connection.connection());
+		}
+	}
+
 	void fail(IOException cause) {
 		if (this.ended) {
 			return;
 		}
 		this.ended = true;
-		this.client.onEnded(this);
 		if (this.connection != null) {
-			closeImmediately(this.connection);
+			this.connection.input().onEnd();
+			closeImmediately(this.connection.connection());
 		}
 		this.listener.onFailure(this.requestSent, cause);
 	}
@@ -285,24 +282,6 @@
 		IoUtils.safeClose(connection);
 	}
 
-	/**
-	 * Fails the call if the server sends a head, or framing of a body, without end. The
-	 * client's parser keeps such bytes in memory and reports nothing until they end.
-	 */
-	void checkOverhead() {
-		runOnIoThread(() -> {
-			if (this.connection == null || this.ended) {
-				return;
-			}
-			long overheadBytes = this.connection.getStatistics().getRead() - this.bytesReadBefore - this.bodyBytes;
-			if (overheadBytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * this.bodyBytes) {
-				LOGGER.warn("{} sent {} bytes of response head and framing; the connection is closed",
-						this.call.target(), overheadBytes);
-				fail(new IOException("Response head or framing exceeds " + MAX_OVERHEAD_BYTES + " bytes"));
-			}
-		});
-	}
-
 	/**
 	 * Fails the call if its connection has not been opened yet.
 	 * @param timeoutMs time for which the call has waited, in ms
--- /dev/null
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -0,0 +1,114 @@
+package io.anvilusher.adapters.http;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+import io.anvilusher.logic.admission.MemoryBudget;
+
+/**
+ * Reads the responses of one connection to a server. It reports that no data is available
+ * after a number of bytes, so that a reader that reads as long as data arrives returns to
+ * the event loop. It fails if a server sends a head, or framing of a body, without end:
+ * the client's parser keeps such bytes in memory and reports nothing until they end.
+ */
+final class ResponseReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+
+	/** Bytes that may be read at once; some buffers of the reader. */
+	static final int MAX_BYTES_PER_TURN = 64 * 1024;
+
+	/**
+	 * Most bytes of a response that may belong to its head or to the framing of its body:
+	 * several times the largest head that servers send.
+	 */
+	private static final long MAX_OVERHEAD_BYTES = 256 * 1024;
+
+	/**
+	 * Most bytes of framing for each byte of the body; a chunk of one byte has five.
+	 */
+	private static final long MAX_FRAMING_BYTES_PER_BODY_BYTE = 8;
+
+	/** Size of a head up to which its memory is not accounted for. */
+	private static final long SMALL_HEAD_BYTES = 16 * 1024;
+
+	/**
+	 * Memory for each byte of a head; a short header line becomes several objects.
+	 */
+	private static final long MEMORY_PER_HEAD_BYTE = 8;
+
+	private final MemoryBudget.Account headAccount;
+
+	private int bytesInTurn;
+
+	private boolean headRead;
+
+	private long overheadBytes;
+
+	private long bodyBytes;
+
+	ResponseReadConduit(StreamSourceConduit next, MemoryBudget.Account headAccount) {
+		super(next);
+		this.headAccount = headAccount;
+	}
+
+	/**
+	 * Records that the next request is being sent on the connection.
+	 */
+	void onRequest() {
+		this.headRead = false;
+		this.overheadBytes = 0;
+		this.bodyBytes = 0;
+	}
+
+	/**
+	 * Records that the head of the response was read.
+	 */
+	void onHead() {
+		this.headRead = true;
+		this.headAccount.release();
+	}
+
+	/**
+	 * Records that the call has ended, with or without a response.
+	 */
+	void onEnd() {
+		onHead();
+	}
+
+	/**
+	 * Records that a part of the body of the response was read.
+	 * @param bytes size of the part
+	 */
+	void onBody(int bytes) {
+		this.overheadBytes -= bytes;
+		this.bodyBytes += bytes;
+	}
+
+	@Override
+	public int read(ByteBuffer buffer) throws IOException {
+		if (this.bytesInTurn >= MAX_BYTES_PER_TURN) {
+			this.bytesInTurn = 0;
+			return 0;
+		}
+		int count = super.read(buffer);
+		this.bytesInTurn = (count > 0) ? this.bytesInTurn + count : 0;
+		if (count > 0) {
+			this.overheadBytes += count;
+			checkOverhead();
+		}
+		return count;
+	}
+
+	private void checkOverhead() throws IOException {
+		if (this.overheadBytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * this.bodyBytes) {
+			throw new IOException("Response head or framing exceeds " + MAX_OVERHEAD_BYTES + " bytes");
+		}
+		if (!this.headRead && this.overheadBytes > SMALL_HEAD_BYTES
+				&& !this.headAccount.tryResize(this.overheadBytes * MEMORY_PER_HEAD_BYTE)) {
+			throw new IOException("No memory for a response head of more than " + this.overheadBytes + " bytes");
+		}
+	}
+
+}
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -4,12 +4,9 @@
 import java.net.URI;
 import java.util.Deque;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.undertow.UndertowOptions;
 import io.undertow.client.ClientCallback;
@@ -19,8 +16,6 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.DefaultByteBufferPool;
 import org.jspecify.annotations.Nullable;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -37,8 +32,6 @@
  */
 public final class StreamingHttpClient implements AutoCloseable {
 
-	private static final Logger LOGGER = LoggerFactory.getLogger(StreamingHttpClient.class);
-
 	private static final int BUFFER_BYTES = 16 * 1024;
 
 	private static final int MAX_IDLE_CONNECTIONS_PER_TARGET = 256;
@@ -63,18 +56,9 @@
 	/** A timer that fires later than this shows that its thread was busy. */
 	private static final long MAX_TIMER_DELAY_MS = 20;
 
-	/** Interval of the checks of calls in progress for heads without end. */
-	private static final long OVERHEAD_CHECK_INTERVAL_MS = 50;
-
 	private final Map<URI, Deque<IdleConnection>> idleConnections = new ConcurrentHashMap<>();
 
-	private final Map<XnioIoThread, YieldingIoThread> connectThreads = new ConcurrentHashMap<>();
-
-	private final Set<ClientCall> runningCalls = ConcurrentHashMap.newKeySet();
-
-	private final AtomicBoolean checkScheduled = new AtomicBoolean();
-
-	private volatile boolean closed;
+	private final Map<XnioIoThread, ConnectingIoThread> connectThreads = new ConcurrentHashMap<>();
 
 	private final MemoryBudget memory;
 
@@ -133,14 +117,15 @@
 	 * @return handle of the call in progress
 	 */
 	public RunningCall start(HttpCall call, HttpCallListener listener) {
-		ClientConnection pooled = call.newConnection() ? null : takeIdleConnection(call.target());
+		ServerConnection pooled = call.newConnection() ? null : takeIdleConnection(call.target());
 		if (pooled != null) {
-			ClientCall running = new ClientCall(this, call, listener, pooled.getIoThread());
-			if (Thread.currentThread() == pooled.getIoThread()) {
+			XnioIoThread pooledThread = pooled.connection().getIoThread();
+			ClientCall running = new ClientCall(this, call, listener, pooledThread);
+			if (Thread.currentThread() == pooledThread) {
 				running.send(pooled);
 			}
 			else {
-				pooled.getIoThread().execute(() -> running.send(pooled));
+				pooledThread.execute(() -> running.send(pooled));
 			}
 			return running;
 		}
@@ -153,13 +138,16 @@
 	private void connect(HttpCall call, XnioIoThread thread, ClientCall running) {
 		Runnable cancelTimeout = afterReading(thread, CONNECT_TIMEOUT_MS,
 				() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS));
+		ConnectingIoThread connectThread = this.connectThreads.computeIfAbsent(thread,
+				(delegate) -> new ConnectingIoThread(delegate, this.memory));
 		UndertowClient.getInstance().connect(new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
 				cancelTimeout.run();
 				connection.addCloseListener((closed) -> removeIdleConnection(call.target(), connection));
-				connection.getIoThread().execute(() -> running.send(connection));
+				ServerConnection opened = new ServerConnection(connection, connectThread.opening());
+				connection.getIoThread().execute(() -> running.send(opened));
 			}
 
 			@Override
@@ -168,45 +156,8 @@
 				thread.execute(() -> running.fail(ex));
 			}
 
-		}, call.target(), this.connectThreads.computeIfAbsent(thread, YieldingIoThread::new), this.buffers,
-				OptionMap.builder()
-					.set(Options.TCP_NODELAY, true)
-					.set(UndertowOptions.ENABLE_HTTP2, false)
-					.set(UndertowOptions.ENABLE_STATISTICS, true)
-					.getMap());
-	}
-
-	void onStarted(ClientCall call) {
-		this.runningCalls.add(call);
-		scheduleCheck();
-	}
-
-	void onEnded(ClientCall call) {
-		this.runningCalls.remove(call);
-	}
-
-	private void scheduleCheck() {
-		if (this.closed || !this.checkScheduled.compareAndSet(false, true)) {
-			return;
-		}
-		try {
-			after(OVERHEAD_CHECK_INTERVAL_MS, this::checkRunningCalls);
-		}
-		catch (RejectedExecutionException ex) {
-			// The I/O threads may end between the check of the flag and this call.
-			if (!this.closed) {
-				throw ex;
-			}
-			LOGGER.debug("The client is closed; the calls in progress are no longer checked");
-		}
-	}
-
-	private void checkRunningCalls() {
-		this.checkScheduled.set(false);
-		this.runningCalls.forEach(ClientCall::checkOverhead);
-		if (!this.runningCalls.isEmpty()) {
-			scheduleCheck();
-		}
+		}, call.target(), connectThread, this.buffers,
+				OptionMap.builder().set(Options.TCP_NODELAY, true).set(UndertowOptions.ENABLE_HTTP2, false).getMap());
 	}
 
 	/**
@@ -242,7 +193,7 @@
 		}, timeoutMs, TimeUnit.MILLISECONDS)::remove;
 	}
 
-	private @Nullable ClientConnection takeIdleConnection(URI target) {
+	private @Nullable ServerConnection takeIdleConnection(URI target) {
 		Deque<IdleConnection> connections = this.idleConnections.get(target);
 		long nowMs = MonotonicClock.SYSTEM.nowMs();
 		while (connections != null) {
@@ -250,10 +201,11 @@
 			if (pooled == null) {
 				return null;
 			}
-			if (pooled.connection().isOpen() && nowMs < pooled.reusableUntilMs()) {
+			ClientConnection connection = pooled.connection().connection();
+			if (connection.isOpen() && nowMs < pooled.reusableUntilMs()) {
 				return pooled.connection();
 			}
-			IoUtils.safeClose(pooled.connection());
+			IoUtils.safeClose(connection);
 		}
 		return null;
 	}
@@ -261,11 +213,15 @@
 	private void removeIdleConnection(URI target, ClientConnection connection) {
 		Deque<IdleConnection> connections = this.idleConnections.get(target);
 		if (connections != null) {
-			connections.removeIf((pooled) -> pooled.connection() == connection);
+			connections.removeIf((pooled) -> pooled.connection().connection() == connection);
 		}
 	}
 
-	MemoryBudget memory() {
+	/**
+	 * Returns the budget of the memory for responses.
+	 * @return the budget, which other messages of the process may share
+	 */
+	public MemoryBudget memory() {
 		return this.memory;
 	}
 
@@ -273,11 +229,11 @@
 		return this.buffers.allocate();
 	}
 
-	void returnToPool(URI target, ClientConnection connection, long keepAliveMs) {
+	void returnToPool(URI target, ServerConnection connection, long keepAliveMs) {
 		Deque<IdleConnection> connections = this.idleConnections.computeIfAbsent(target,
 				(key) -> new ConcurrentLinkedDeque<>());
-		if (!connection.isOpen() || connections.size() >= MAX_IDLE_CONNECTIONS_PER_TARGET) {
-			IoUtils.safeClose(connection);
+		if (!connection.connection().isOpen() || connections.size() >= MAX_IDLE_CONNECTIONS_PER_TARGET) {
+			IoUtils.safeClose(connection.connection());
 			return;
 		}
 		connections.addLast(new IdleConnection(connection, MonotonicClock.SYSTEM.nowMs() + keepAliveMs));
@@ -285,9 +241,9 @@
 
 	@Override
 	public void close() {
-		this.closed = true;
 		this.idleConnections.values()
-			.forEach((connections) -> connections.forEach((pooled) -> IoUtils.safeClose(pooled.connection())));
+			.forEach((connections) -> connections
+				.forEach((pooled) -> IoUtils.safeClose(pooled.connection().connection())));
 		this.worker.shutdown();
 	}
 
@@ -298,7 +254,7 @@
 	 * @param reusableUntilMs time of the monotonic clock until which it may be reused, in
 	 * ms
 	 */
-	private record IdleConnection(ClientConnection connection, long reusableUntilMs) {
+	private record IdleConnection(ServerConnection connection, long reusableUntilMs) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -15,6 +15,7 @@
 import org.slf4j.LoggerFactory;
 import org.xnio.XnioIoThread;
 
+import io.anvilusher.adapters.http.RunningCall;
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
@@ -60,6 +61,9 @@
 	 */
 	private static final double MAX_PROBE_TIME_SHARE = 0.15;
 
+	/** Timeout for the response to a call that frees a KV cache. */
+	private static final long FREE_KV_CACHE_TIMEOUT_MS = 1_000;
+
 	private final Map<String, Timer> totalTimers = new HashMap<>();
 
 	private final Map<String, Timer> firstResultTimers = new HashMap<>();
@@ -252,7 +256,9 @@
 			schedule(pauseLeftMs, () -> freeKvCache(fetch));
 			return;
 		}
-		this.client.start(this.format.freeHandle(fetch.source(), fetch.handle()), FreeKvCacheListener.INSTANCE);
+		RunningCall call = this.client.start(this.format.freeHandle(fetch.source(), fetch.handle()),
+				FreeKvCacheListener.INSTANCE);
+		schedule(FREE_KV_CACHE_TIMEOUT_MS, call::cancel);
 	}
 
 	long retryAfterMs(String service) {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -13,6 +13,7 @@
 
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
+import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.placement.Placement;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.request.EventSplitter;
@@ -47,6 +48,9 @@
 	 */
 	private static final int MAX_PENDING_BYTES = 256 * 1024;
 
+	/** Memory of a stream up to which it is not accounted for. */
+	private static final int SMALL_STREAM_BYTES = 16 * 1024;
+
 	private final Dispatcher dispatcher;
 
 	private final RequestInput input;
@@ -57,6 +61,8 @@
 
 	private final EventSplitter eventSplitter = new EventSplitter();
 
+	private final MemoryBudget.Account streamAccount;
+
 	private @Nullable ServerAttempt currentAttempt;
 
 	private @Nullable ServerAttempt streamAttempt;
@@ -96,6 +102,18 @@
 		this.dispatcher = dispatcher;
 		this.input = input;
 		this.response = new CallerResponse(input.exchange());
+		this.streamAccount = dispatcher.client().memory().open();
+		input.exchange().addExchangeCompleteListener((ended, next) -> {
+			releaseMemory();
+			next.proceed();
+		});
+	}
+
+	private void releaseMemory() {
+		this.streamAccount.release();
+		if (this.currentAttempt != null) {
+			this.currentAttempt.releaseMemory();
+		}
 	}
 
 	RequestInput input() {
@@ -291,6 +309,7 @@
 		this.streamHead = this.streamStarted ? this.streamHead : null;
 		this.serverPaused = false;
 		this.eventSplitter.dropPartialEvent();
+		accountForStream();
 		if (refuseSuspect()) {
 			return true;
 		}
@@ -401,6 +420,36 @@
 		if (this.eventSplitter.isOutOfOrder()) {
 			attempt.failBroken();
 		}
+		else if (!this.done && !accountForStream()) {
+			onOutOfMemory(attempt);
+		}
+	}
+
+	private boolean accountForStream() {
+		int memoryBytes = this.eventSplitter.memoryBytes() + this.response.pendingBytes();
+		return this.streamAccount.tryResize((memoryBytes > SMALL_STREAM_BYTES) ? memoryBytes : 0);
+	}
+
+	// Waits for the caller if it is behind; otherwise the memory is needed for an event
+	// that the server has not completed.
+	private void onOutOfMemory(ServerAttempt attempt) {
+		if (this.response.pendingBytes() > 0) {
+			pauseServer(attempt);
+			return;
+		}
+		LOGGER.atWarn()
+			.addKeyValue("request_id", this.input.head().attemptId())
+			.addKeyValue("server", attempt.serverId())
+			.addKeyValue("memory_bytes", this.eventSplitter.memoryBytes())
+			.log("No memory left for an event of a stream; its connection is closed");
+		attempt.failBroken();
+	}
+
+	private void pauseServer(ServerAttempt attempt) {
+		if (!this.serverPaused) {
+			this.serverPaused = true;
+			attempt.pause();
+		}
 	}
 
 	private void forwardEvents(ServerAttempt attempt, byte[] completeEvents, boolean first) {
@@ -419,13 +468,13 @@
 			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
 		}
 		this.response.sendEvents(completeEvents, this::onEventsWritten);
-		if (this.response.pendingBytes() > MAX_PENDING_BYTES && !this.serverPaused) {
-			this.serverPaused = true;
-			attempt.pause();
+		if (this.response.pendingBytes() > MAX_PENDING_BYTES) {
+			pauseServer(attempt);
 		}
 	}
 
 	private void onEventsWritten() {
+		accountForStream();
 		if (this.serverPaused && this.response.pendingBytes() < MAX_PENDING_BYTES / 2) {
 			this.serverPaused = false;
 			if (this.currentAttempt != null) {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -1,6 +1,5 @@
 package io.anvilusher.gateway.request;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.URI;
 import java.nio.ByteBuffer;
@@ -8,7 +7,10 @@
 import java.util.OptionalInt;
 
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
+import io.anvilusher.adapters.http.BodyBuffer;
 import io.anvilusher.adapters.http.HttpCall;
 import io.anvilusher.adapters.http.HttpCallListener;
 import io.anvilusher.adapters.http.RunningCall;
@@ -27,6 +29,8 @@
  */
 final class ServerAttempt implements HttpCallListener {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(ServerAttempt.class);
+
 	private static final int MISDIRECTED = 421;
 
 	private static final int FIRST_SERVER_ERROR = 500;
@@ -57,7 +61,7 @@
 
 	private long observerDelayAtEventMs;
 
-	private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream(0);
+	private final BodyBuffer bufferedBody;
 
 	private @Nullable RunningCall call;
 
@@ -85,6 +89,7 @@
 		this.trackedServer = trackedServer;
 		this.uncachedTokens = uncachedTokens;
 		this.step = step;
+		this.bufferedBody = new BodyBuffer(MAX_BUFFERED_BYTES, dispatcher.client().memory().open());
 		this.sentAtMs = dispatcher.nowMs();
 		this.observerDelayAtStartMs = trackedServer.observerDelayMs();
 	}
@@ -174,6 +179,7 @@
 	void cancel() {
 		this.ignored = true;
 		end();
+		releaseMemory();
 		if (this.call != null) {
 			this.call.cancel();
 		}
@@ -274,6 +280,7 @@
 	private void ignoreRest() {
 		this.ignored = true;
 		end();
+		releaseMemory();
 	}
 
 	/**
@@ -371,13 +378,24 @@
 			this.request.onStreamData(this, data);
 			return;
 		}
-		if (this.bufferedBody.size() + data.remaining() > MAX_BUFFERED_BYTES) {
+		BodyBuffer.Result result = this.bufferedBody.add(data);
+		if (result != BodyBuffer.Result.ADDED) {
+			LOGGER.atWarn()
+				.addKeyValue("request_id", this.request.input().head().attemptId())
+				.addKeyValue("server", serverId())
+				.addKeyValue("read_bytes", this.bufferedBody.sizeBytes())
+				.addKeyValue("reason", result)
+				.log("Response is not buffered any further; its connection is closed");
 			fail(AttemptFailure.ANSWER_CUT, false);
-			return;
 		}
-		byte[] bytes = new byte[data.remaining()];
-		data.get(bytes);
-		this.bufferedBody.writeBytes(bytes);
+	}
+
+	/**
+	 * Gives back the memory of the response. Called when it has been sent to the caller,
+	 * or will not be sent.
+	 */
+	void releaseMemory() {
+		this.bufferedBody.release();
 	}
 
 	@Override
@@ -402,7 +420,13 @@
 		onFirstResult();
 		onWholeResponse();
 		end();
-		this.request.onCompleteResponse(this, response, this.bufferedBody.toByteArray());
+		this.request.onCompleteResponse(this, response, this.bufferedBody.take());
+	}
+
+	private byte[] takeBody() {
+		byte[] body = this.bufferedBody.take();
+		releaseMemory();
+		return body;
 	}
 
 	private void onPrefillEnd(ResponseHead response) {
@@ -415,7 +439,7 @@
 		this.trackedServer.onPromptPrefilled(prompt.sharedParts());
 		end();
 		this.dispatcher.format()
-			.readHandle(this.bufferedBody.toByteArray())
+			.readHandle(takeBody())
 			.ifPresentOrElse((handle) -> this.request.onPrefilled(this, this.trackedServer.server().address(), handle),
 					() -> this.request.onFailed(this, AttemptFailure.FRAMES_BROKEN));
 		this.dispatcher.onCapacityFreed(this.request.input().service());
@@ -428,6 +452,7 @@
 		}
 		this.ignored = true;
 		end();
+		releaseMemory();
 		this.trackedServer.health().onConnectionFailure(this.dispatcher.nowMs());
 		if (!sent) {
 			this.request.onNotRun(this, AttemptFailure.SERVER_UNREACHABLE, false);
--- a/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
+++ b/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
@@ -16,7 +16,12 @@
 
 	private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
-	private byte[] buffer = new byte[1024];
+	private static final int INITIAL_BUFFER_BYTES = 1_024;
+
+	/** A larger buffer is replaced by a small one when it is nearly empty. */
+	private static final int MAX_IDLE_BUFFER_BYTES = 16 * 1024;
+
+	private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
 
 	private int bufferedBytes;
 
@@ -55,7 +60,8 @@
 			throw new IllegalStateException("server-sent event exceeds the limit of " + MAX_EVENT_BYTES + " bytes");
 		}
 		if (this.bufferedBytes + added > this.buffer.length) {
-			this.buffer = Arrays.copyOf(this.buffer, Math.max(this.buffer.length * 2, this.bufferedBytes + added));
+			int doubledBytes = Math.min(MAX_EVENT_BYTES, this.buffer.length * 2);
+			this.buffer = Arrays.copyOf(this.buffer, Math.max(doubledBytes, this.bufferedBytes + added));
 		}
 		data.get(this.buffer, this.bufferedBytes, added);
 		this.bufferedBytes += added;
@@ -91,9 +97,24 @@
 		byte[] complete = Arrays.copyOf(this.buffer, eventStart);
 		System.arraycopy(this.buffer, eventStart, this.buffer, 0, this.bufferedBytes - eventStart);
 		this.bufferedBytes -= eventStart;
+		shrinkBuffer();
 		return complete;
 	}
 
+	private void shrinkBuffer() {
+		if (this.buffer.length > MAX_IDLE_BUFFER_BYTES && this.bufferedBytes <= INITIAL_BUFFER_BYTES) {
+			this.buffer = Arrays.copyOf(this.buffer, INITIAL_BUFFER_BYTES);
+		}
+	}
+
+	/**
+	 * Returns the memory that the incomplete event needs.
+	 * @return size of the buffer, in bytes
+	 */
+	public int memoryBytes() {
+		return this.buffer.length;
+	}
+
 	private boolean continuesStream() {
 		if (this.pendingId.isEmpty()) {
 			return !(this.idRequired && this.hasFields);
@@ -142,6 +163,7 @@
 		this.outOfOrder = false;
 		this.bufferedBytes = 0;
 		this.pendingId = OptionalLong.empty();
+		shrinkBuffer();
 	}
 
 	/**
