Tell the callers of requests that a stop does not finish

Requests that arrive late are accepted only if they end in time, and a test that sends them during the whole grace period lost none on the old code either. Two other ways were found:

- A request was accepted with its head.
Its body could arrive seconds later, and the request was passed on shortly before the end.
- Requests accepted in the first 2.5 s that a server still works on at the end had their connection closed without a response.

Change: a stopping gateway decides again once the body is there. A body that does not arrive by the deadline or the route's timeout is refused with 408; such a request was held for as long as its connection. At the end of a stop, all requests that are left are answered: 502 if they may have run, 503 if not.

--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -2,8 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -12,11 +16,13 @@
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
+import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 import io.anvilusher.adapters.http.ActiveRequests;
@@ -77,6 +83,15 @@
 
 	private static final long DRAIN_CHECK_INTERVAL_MS = 10;
 
+	/** Longest wait for the last responses at the end of a drain. */
+	private static final long END_REQUESTS_MS = 200;
+
+	/**
+	 * Time for a caller to read the response before its connection is closed, although it
+	 * has not sent its whole request.
+	 */
+	private static final long CLOSE_DELAY_MS = 500;
+
 	private final Undertow undertow;
 
 	private final WireFormat format;
@@ -95,6 +110,10 @@
 
 	private final ActiveRequests activeRequests;
 
+	private final XnioIoThread thread;
+
+	private final Set<UnreadRequest> unreadRequests = new HashSet<>();
+
 	private volatile @Nullable DrainAdmission drainAdmission;
 
 	/**
@@ -120,6 +139,7 @@
 		this.random = random;
 		this.lagMs = lagMs;
 		this.activeRequests = new ActiveRequests(meters);
+		this.thread = worker.getIoThread();
 		this.undertow = CallerServers
 			.builder(address,
 					new CallerServers.Limits(MAX_HEADERS_BYTES, MAX_BODY_BYTES, HEADERS_TIMEOUT_MS, IDLE_TIMEOUT_MS),
@@ -163,7 +183,8 @@
 			refuse(exchange, head, RefusalReason.ROUTE_UNKNOWN, OptionalLong.empty());
 			return;
 		}
-		if (!acceptsWhileDraining(head, route.get(), arrivedAtMs)) {
+		long timeoutAtMs = arrivedAtMs + Math.min(route.get().timeoutMs(), head.remainingMs().orElse(Long.MAX_VALUE));
+		if (!acceptsWhileDraining(timeoutAtMs)) {
 			refuse(exchange, head, RefusalReason.ENTRY_DRAINING, OptionalLong.of(DRAINING_RETRY_AFTER_MS));
 			return;
 		}
@@ -178,26 +199,19 @@
 			return;
 		}
 		String service = RouteIndex.selectService(route.get(), this.random.nextDouble());
+		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs);
+		unread.start();
 		exchange.getRequestReceiver()
-			.receiveFullBytes(
-					(read, body) -> read.dispatch(SameThreadExecutor.INSTANCE,
-							() -> this.dispatcher.start(new RequestInput(read, head, body, route.get(), service,
-									workspace, table.version(), arrivedAtMs))),
-					(failed, ex) -> onBodyFailed(failed, head, ex));
+			.receiveFullBytes((read,
+					body) -> read.dispatch(SameThreadExecutor.INSTANCE, () -> unread.onBody(new RequestInput(read, head,
+							body, route.get(), service, workspace, table.version(), arrivedAtMs))),
+					(failed, ex) -> unread.onFailed(ex));
 	}
 
-	private boolean acceptsWhileDraining(RequestHead head, Route route, long nowMs) {
+	private boolean acceptsWhileDraining(long timeoutAtMs) {
 		DrainAdmission admission = this.drainAdmission;
-		long timeoutAtMs = nowMs + Math.min(route.timeoutMs(), head.remainingMs().orElse(Long.MAX_VALUE));
-		return admission == null || admission.accepts(nowMs, timeoutAtMs, this.activeRequests.hasEarlierRequests());
-	}
-
-	private void onBodyFailed(HttpServerExchange exchange, RequestHead head, IOException cause) {
-		LOGGER.atInfo()
-			.addKeyValue("request_id", head.attemptId())
-			.addKeyValue("cause", cause.getMessage())
-			.log("Reading the request body failed; the connection is closed");
-		IoUtils.safeClose(exchange.getConnection());
+		return admission == null
+				|| admission.accepts(this.clock.nowMs(), timeoutAtMs, this.activeRequests.hasEarlierRequests());
 	}
 
 	private void refuse(HttpServerExchange exchange, RequestHead head, RefusalReason reason,
@@ -216,7 +230,8 @@
 	/**
 	 * Drains the server: waits for the active requests to finish. Each open connection is
 	 * closed with the response to its next request. Later, requests are accepted only
-	 * while others are waited for, and only if they will end in time.
+	 * while others are waited for, and only if they will end in time. Callers of requests
+	 * that are still active at the end are told so.
 	 * @param acceptMs time during which all new requests are still accepted, in ms
 	 * @param maxDurationMs time from now after which the method returns even if requests
 	 * are still active, in ms
@@ -234,6 +249,95 @@
 		}
 		LOGGER.info("Drained in {} ms with {} requests left", this.clock.nowMs() - startMs,
 				this.activeRequests.count());
+		if (this.activeRequests.count() > 0) {
+			endRequests();
+		}
+	}
+
+	private void endRequests() throws InterruptedException {
+		CountDownLatch ended = new CountDownLatch(1);
+		this.thread.execute(() -> {
+			List.copyOf(this.unreadRequests)
+				.forEach((unread) -> unread.refuseUnread(RefusalReason.ENTRY_DRAINING,
+						OptionalLong.of(DRAINING_RETRY_AFTER_MS)));
+			this.dispatcher.endAll();
+			ended.countDown();
+		});
+		if (!ended.await(END_REQUESTS_MS, TimeUnit.MILLISECONDS)) {
+			LOGGER.warn("The traffic thread was busy for {} ms; callers of requests that are left may get no response",
+					END_REQUESTS_MS);
+		}
+	}
+
+	/**
+	 * A request whose body has not arrived completely. Used on the traffic thread only.
+	 */
+	private final class UnreadRequest {
+
+		private final HttpServerExchange exchange;
+
+		private final RequestHead head;
+
+		private final long timeoutAtMs;
+
+		private Runnable cancelTimeout = () -> {
+		};
+
+		UnreadRequest(HttpServerExchange exchange, RequestHead head, long timeoutAtMs) {
+			this.exchange = exchange;
+			this.head = head;
+			this.timeoutAtMs = timeoutAtMs;
+		}
+
+		void start() {
+			GatewayHttpServer server = GatewayHttpServer.this;
+			server.unreadRequests.add(this);
+			this.cancelTimeout = server.thread.executeAfter(
+					() -> refuseUnread(RefusalReason.CALLER_TOO_SLOW, OptionalLong.empty()),
+					Math.max(0, this.timeoutAtMs - server.clock.nowMs()), TimeUnit.MILLISECONDS)::remove;
+		}
+
+		private boolean end() {
+			this.cancelTimeout.run();
+			return GatewayHttpServer.this.unreadRequests.remove(this);
+		}
+
+		void onBody(RequestInput input) {
+			if (!end()) {
+				return;
+			}
+			// The body may have taken until shortly before the end of the process.
+			if (!acceptsWhileDraining(this.timeoutAtMs)) {
+				refuse(this.exchange, this.head, RefusalReason.ENTRY_DRAINING,
+						OptionalLong.of(DRAINING_RETRY_AFTER_MS));
+				return;
+			}
+			GatewayHttpServer.this.dispatcher.start(input);
+		}
+
+		void onFailed(IOException cause) {
+			if (!end()) {
+				return;
+			}
+			LOGGER.atInfo()
+				.addKeyValue("request_id", this.head.attemptId())
+				.addKeyValue("cause", cause.getMessage())
+				.log("Reading the request body failed; the connection is closed");
+			IoUtils.safeClose(this.exchange.getConnection());
+		}
+
+		// The rest of the body is not waited for, so the connection cannot be used again.
+		void refuseUnread(RefusalReason reason, OptionalLong retryAfterMs) {
+			if (!end()) {
+				return;
+			}
+			this.exchange.setPersistent(false);
+			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+			refuse(this.exchange, this.head, reason, retryAfterMs);
+			GatewayHttpServer.this.thread.executeAfter(() -> IoUtils.safeClose(this.exchange.getConnection()),
+					CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
+		}
+
 	}
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.request;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -98,6 +99,8 @@
 
 	private final Map<String, ServiceState> serviceStates = new HashMap<>();
 
+	private final Set<GatewayRequest> activeRequests = new HashSet<>();
+
 	private final Map<TrackedServer, CompletableFuture<Void>> runningProbes = new HashMap<>();
 
 	private boolean checkScheduled;
@@ -131,7 +134,21 @@
 	 */
 	public void start(RequestInput input) {
 		serviceState(input.service()).retryBudget().onRequest(nowMs());
-		new GatewayRequest(this, input).start();
+		GatewayRequest request = new GatewayRequest(this, input);
+		this.activeRequests.add(request);
+		request.start();
+	}
+
+	/**
+	 * Ends all requests in progress because the process ends. Their callers are told
+	 * whether they may have run.
+	 */
+	public void endAll() {
+		List.copyOf(this.activeRequests).forEach(GatewayRequest::endForShutdown);
+	}
+
+	void onFinished(GatewayRequest request) {
+		this.activeRequests.remove(request);
 	}
 
 	Placement place(GatewayRequest request, Set<String> excludedServers) {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -362,12 +362,24 @@
 	}
 
 	private void onTimeout() {
-		if (this.done) {
-			return;
+		if (!this.done) {
+			refuseInProgress(RefusalReason.DEADLINE_EXCEEDED, RefusalReason.QUEUE_TIMEOUT);
 		}
+	}
+
+	/**
+	 * Ends the request because the process ends.
+	 */
+	void endForShutdown() {
+		if (!this.done) {
+			refuseInProgress(RefusalReason.SERVER_LOST, RefusalReason.ENTRY_DRAINING);
+		}
+	}
+
+	private void refuseInProgress(RefusalReason reasonIfRun, RefusalReason reasonIfNotRun) {
 		ServerAttempt active = this.currentAttempt;
 		this.mayHaveRun |= active != null && active.mayHaveRun();
-		refuse(this.mayHaveRun ? RefusalReason.DEADLINE_EXCEEDED : RefusalReason.QUEUE_TIMEOUT);
+		refuse(this.mayHaveRun ? reasonIfRun : reasonIfNotRun);
 		if (active != null) {
 			active.abandon();
 		}
@@ -522,6 +534,7 @@
 
 	private void finish(String outcome, int status) {
 		this.done = true;
+		this.dispatcher.onFinished(this);
 		this.cancelTimeout.run();
 		this.dispatcher.serviceState(this.input.service()).queue().remove(this);
 		this.unfetchedKvCache.ifPresent(this.dispatcher::freeKvCache);
