Ignore entries of the list of servers that name no server

Shown here: with an address that is no IP number and port, or a port out of range, no request of that service was served (500 or 503). After a record without content the list was not followed any more. Nested entries, large numbers and other types had no effect before.

Cause: addresses were taken from the entry as they are and threw where a request was sent; a read whose decoding throws was never repeated.

--- a/adapters/src/main/java/io/anvilusher/adapters/process/SocketAddresses.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/SocketAddresses.java
@@ -16,8 +16,11 @@
 
 	private static final int MAX_PORT = 65_535;
 
+	private static final String BYTE = "(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)";
+
+	// Anything else in place of the address would be looked up as a host name.
 	private static final Pattern ADDRESS = Pattern
-		.compile("(\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}\\.\\d{1,3}|\\[[0-9a-fA-F:]+])\\:(\\d{1,5})");
+		.compile("(" + BYTE + "(?:\\." + BYTE + "){3}|\\[[0-9a-fA-F:]+])\\:(\\d{1,5})");
 
 	private SocketAddresses() {
 	}
@@ -32,7 +35,8 @@
 		if (!matcher.matches() || Integer.parseInt(matcher.group(2)) > MAX_PORT) {
 			return Optional.empty();
 		}
-		return Optional.of(new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))));
+		return Optional.of(new InetSocketAddress(matcher.group(1), Integer.parseInt(matcher.group(2))))
+			.filter((address) -> !address.isUnresolved());
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -156,7 +156,7 @@
 	}
 
 	private void apply(Map<String, T> target, KeyedRecord keyedRecord) {
-		Optional<T> value = keyedRecord.value().flatMap((bytes) -> this.decoder.apply(keyedRecord.key(), bytes));
+		Optional<T> value = keyedRecord.value().flatMap((bytes) -> decode(keyedRecord.key(), bytes));
 		if (keyedRecord.value().isPresent() && value.isEmpty()) {
 			this.meters.counter("anvilusher.store.unreadable", "table", this.name).increment();
 			LOGGER.warn("Table {}: the record of key {} is not readable or not usable; the key is treated as absent",
@@ -166,8 +166,23 @@
 				() -> target.remove(keyedRecord.key()));
 	}
 
+	// One record that the decoder cannot handle must not end the process, nor hide the
+	// other records.
+	private Optional<T> decode(String key, byte[] value) {
+		try {
+			return this.decoder.apply(key, value);
+		}
+		catch (RuntimeException | StackOverflowError ex) {
+			LOGGER.warn("Table {}: decoding the record of key {} failed", this.name, key, ex);
+			return Optional.empty();
+		}
+	}
+
 	private void onControlThread(CompletableFuture<TableReadResult> pending, Consumer<TableReadResult> action) {
-		pending.thenAccept((result) -> this.thread.run(() -> action.accept(result)));
+		pending.exceptionally((failure) -> {
+			LOGGER.error("Table {}: a read failed unexpectedly", this.name, failure);
+			return new TableReadResult.Unavailable(failure.toString());
+		}).thenAccept((result) -> this.thread.run(() -> action.accept(result)));
 	}
 
 	/**
