Name the server whose response head or framing has no end

The check of heads and framing that replaced the timer lost its log line. It is back, with the address of the server and the limit that was exceeded.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ConnectingIoThread.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ConnectingIoThread.java
@@ -61,20 +61,22 @@
 	@Override
 	public IoFuture<StreamConnection> openStreamConnection(SocketAddress destination,
 			ChannelListener<? super StreamConnection> openListener, OptionMap options) {
-		return this.delegate.openStreamConnection(destination, reading(openListener), options);
+		return this.delegate.openStreamConnection(destination, reading(destination, openListener), options);
 	}
 
 	@Override
 	public IoFuture<StreamConnection> openStreamConnection(SocketAddress destination,
 			ChannelListener<? super StreamConnection> openListener, ChannelListener<? super BoundChannel> bindListener,
 			OptionMap options) {
-		return this.delegate.openStreamConnection(destination, reading(openListener), bindListener, options);
+		return this.delegate.openStreamConnection(destination, reading(destination, openListener), bindListener,
+				options);
 	}
 
-	private ChannelListener<StreamConnection> reading(ChannelListener<? super StreamConnection> openListener) {
+	private ChannelListener<StreamConnection> reading(SocketAddress destination,
+			ChannelListener<? super StreamConnection> openListener) {
 		return (connection) -> {
 			ResponseReadConduit conduit = new ResponseReadConduit(connection.getSourceChannel().getConduit(),
-					this.memory.open());
+					destination, this.memory.open());
 			connection.getSourceChannel().setConduit(conduit);
 			this.opening = conduit;
 			openListener.handleEvent(connection);
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -1,8 +1,11 @@
 package io.anvilusher.adapters.http;
 
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -16,6 +19,8 @@
  */
 final class ResponseReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(ResponseReadConduit.class);
+
 	/** Bytes that may be read at once; some buffers of the reader. */
 	static final int MAX_BYTES_PER_TURN = 64 * 1024;
 
@@ -38,6 +43,8 @@
 	 */
 	private static final long MEMORY_PER_HEAD_BYTE = 8;
 
+	private final SocketAddress server;
+
 	private final MemoryBudget.Account headAccount;
 
 	private int bytesInTurn;
@@ -48,8 +55,9 @@
 
 	private long bodyBytes;
 
-	ResponseReadConduit(StreamSourceConduit next, MemoryBudget.Account headAccount) {
+	ResponseReadConduit(StreamSourceConduit next, SocketAddress server, MemoryBudget.Account headAccount) {
 		super(next);
+		this.server = server;
 		this.headAccount = headAccount;
 	}
 
@@ -103,12 +111,18 @@
 
 	private void checkOverhead() throws IOException {
 		if (this.overheadBytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * this.bodyBytes) {
-			throw new IOException("Response head or framing exceeds " + MAX_OVERHEAD_BYTES + " bytes");
+			throw rejected("more than " + MAX_OVERHEAD_BYTES + " bytes of response head or framing");
 		}
 		if (!this.headRead && this.overheadBytes > SMALL_HEAD_BYTES
 				&& !this.headAccount.tryResize(this.overheadBytes * MEMORY_PER_HEAD_BYTE)) {
-			throw new IOException("No memory for a response head of more than " + this.overheadBytes + " bytes");
+			throw rejected(
+					"a response head of more than " + this.overheadBytes + " bytes, for which no memory is left");
 		}
 	}
 
+	private IOException rejected(String what) {
+		LOGGER.warn("Server at {} sent {}; the connection is closed", this.server, what);
+		return new IOException("The server sent " + what);
+	}
+
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -52,7 +52,7 @@
 
 	private final Map<String, LostRequests> lostByServer = new LinkedHashMap<>();
 
-	private final Map<String, Long> silentAcceptedAtMs = new LinkedHashMap<>() {
+	private final Map<String, Long> acceptedAtMsByServer = new LinkedHashMap<>() {
 
 		@Override
 		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
@@ -95,7 +95,7 @@
 	 * one may accept connections at its address then.
 	 */
 	void onSilent(RegisteredServer server, RequestSubjects subjects, boolean gone) {
-		Long acceptedAtMs = this.silentAcceptedAtMs.get(server.id());
+		Long acceptedAtMs = this.acceptedAtMsByServer.get(server.id());
 		boolean justAccepted = acceptedAtMs != null && this.clock.nowMs() - acceptedAtMs < SILENT_PROBE_INTERVAL_MS;
 		if (gone || !justAccepted) {
 			onLost(server, subjects, gone);
@@ -152,7 +152,7 @@
 		}
 		if (accepting) {
 			this.lostByServer.remove(lost.server.id(), lost);
-			this.silentAcceptedAtMs.put(lost.server.id(), this.clock.nowMs());
+			this.acceptedAtMsByServer.put(lost.server.id(), this.clock.nowMs());
 			return;
 		}
 		confirm(lost);
