--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -200,12 +200,12 @@
 		}
 		String service = RouteIndex.selectService(route.get(), this.random.nextDouble());
 		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs);
-		unread.start();
 		exchange.getRequestReceiver()
 			.receiveFullBytes((read,
 					body) -> read.dispatch(SameThreadExecutor.INSTANCE, () -> unread.onBody(new RequestInput(read, head,
 							body, route.get(), service, workspace, table.version(), arrivedAtMs))),
 					(failed, ex) -> unread.onFailed(ex));
+		unread.awaitBody();
 	}
 
 	private boolean acceptsWhileDraining(long timeoutAtMs) {
@@ -280,6 +280,8 @@
 
 		private final long timeoutAtMs;
 
+		private boolean ended;
+
 		private Runnable cancelTimeout = () -> {
 		};
 
@@ -289,7 +291,11 @@
 			this.timeoutAtMs = timeoutAtMs;
 		}
 
-		void start() {
+		// The body of most requests has arrived together with their head.
+		void awaitBody() {
+			if (this.ended) {
+				return;
+			}
 			GatewayHttpServer server = GatewayHttpServer.this;
 			server.unreadRequests.add(this);
 			this.cancelTimeout = server.thread.executeAfter(
@@ -298,8 +304,11 @@
 		}
 
 		private boolean end() {
+			boolean first = !this.ended;
+			this.ended = true;
 			this.cancelTimeout.run();
-			return GatewayHttpServer.this.unreadRequests.remove(this);
+			GatewayHttpServer.this.unreadRequests.remove(this);
+			return first;
 		}
 
 		void onBody(RequestInput input) {
