Do not acquit a request by the response of a crashed server

Traced in its record: the stand-in i-engine-1-1 crashed at 10,205 ms and ran the request again at 11,271 ms and 13,809 ms, whole, on a connection that it had accepted while it reset the others. A process that has crashed sends nothing, but the two responses acquitted the request for ten minutes, so that the crashes of all other engines did not convict it.

Change: the whole response of a server whose crash a gateway has reported proves nothing about the request.

CrashingPromptTests.responseOfAServerThatCrashedAcquitsNothing failed before (not refused within 8 s) and passes.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -347,7 +347,7 @@
 	 */
 	void onWholeResponse() {
 		if (this.head != null && this.head.isSuccess()) {
-			this.dispatcher.suspects().onAnswered(this.request.input().subjects());
+			this.dispatcher.suspects().onAnswered(this.trackedServer.server(), this.request.input().subjects());
 		}
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectFollower.java
@@ -105,6 +105,8 @@
 
 	private volatile SuspectVerdict verdict = SuspectVerdict.NONE;
 
+	private volatile Set<String> crashIds = Set.of();
+
 	SuspectFollower(String process, StoreTable table, TableFollower.ControlContext context, LongSupplier timeOfDayMs,
 			RandomGenerator random, AnsweredSubjects answeredSubjects) {
 		this.reportKey = SuspectRecord.GATEWAY_KEY + process;
@@ -141,6 +143,15 @@
 		return this.verdict;
 	}
 
+	/**
+	 * Returns whether a gateway has reported a crash lately. May be called on any thread.
+	 * @param crashId identifies the crash
+	 * @return whether the crash is known
+	 */
+	boolean isKnownCrash(String crashId) {
+		return this.crashIds.contains(crashId);
+	}
+
 	@Override
 	public void onTable(Map<String, SuspectRecord> values) {
 		this.shared = values;
@@ -219,6 +230,10 @@
 		List<CrashReport> reports = Stream.concat(otherReports(), Stream.of(report())).toList();
 		SuspectVerdict next = CrashInquiry.decide(reports, convictedUntilMs(), nowMs);
 		this.verdict = next;
+		this.crashIds = reports.stream()
+			.flatMap((report) -> report.crashes().stream())
+			.map(CrashObservation::crashId)
+			.collect(Collectors.toUnmodifiableSet());
 		next.newlyConvicted().forEach((subject, crashes) -> convict(subject, crashes, nowMs));
 		next.convicted()
 			.stream()
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
@@ -54,8 +54,12 @@
 	}
 
 	private void onCrash(RegisteredServer server, Map<String, Integer> depths) {
-		this.context.thread()
-			.run(() -> this.follower.onCrash(server.id() + "@" + server.startedAtMs(), server.service(), depths));
+		this.context.thread().run(() -> this.follower.onCrash(crashId(server), server.service(), depths));
+	}
+
+	// The same for all gateways, and different for each incarnation of a server.
+	private static String crashId(RegisteredServer server) {
+		return server.id() + "@" + server.startedAtMs();
 	}
 
 	/**
@@ -79,10 +83,16 @@
 	}
 
 	/**
-	 * Records the whole response of a server.
+	 * Records the whole response of a server. It proves nothing if the server is known to
+	 * have crashed: what it still sends on a connection that outlived the crash does not
+	 * show that servers survive the request.
+	 * @param server the server
 	 * @param subjects subjects of the request
 	 */
-	public void onAnswered(RequestSubjects subjects) {
+	public void onAnswered(RegisteredServer server, RequestSubjects subjects) {
+		if (this.follower.isKnownCrash(crashId(server))) {
+			return;
+		}
 		this.answeredSubjects.add(subjects, this.context.clock().nowMs());
 		SuspectVerdict verdict = this.follower.verdict();
 		Stream.of(verdict.suspects(), verdict.convicted())
