Leave the limit of log responses of entries and sidecars as it was

The lower limit for pages of the store's tables also applied to the log that entries and sidecars read, whose parts may be longer.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
@@ -12,8 +12,8 @@
  */
 public final class BufferingHttpClient {
 
-	/** Largest response body: several times the largest page of a store's table. */
-	private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+	/** Largest response body where the caller names none: a long part of a log. */
+	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 	private final StreamingHttpClient client;
 
@@ -26,7 +26,7 @@
 	}
 
 	/**
-	 * Makes a call whose response may be as long as a page of a store's table.
+	 * Makes a call whose response may be as long as a part of a log.
 	 * @param call the call
 	 * @param timeoutMs maximum time until the end of the response, in ms; the call is
 	 * cancelled after it
