Keep java.util.concurrent out of the memory budget

The budget in logic/ used AtomicLong, which the layers forbid.

The counters are plain fields now, guarded by the budget's lock. LayerTests and the tests of the budget pass.

--- a/logic/src/main/java/io/anvilusher/logic/admission/MemoryBudget.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/MemoryBudget.java
@@ -1,7 +1,5 @@
 package io.anvilusher.logic.admission;
 
-import java.util.concurrent.atomic.AtomicLong;
-
 /**
  * Bounds the memory that a process spends on requests and responses in progress, all of
  * them together. It is designed for many messages that are large or never end, each of
@@ -26,9 +24,9 @@
 
 	private final long maxBytesWithLarge;
 
-	private final AtomicLong heldBytes = new AtomicLong();
+	private long heldBytes;
 
-	private final AtomicLong refusals = new AtomicLong();
+	private long refusals;
 
 	/**
 	 * Creates a budget of which nothing is in use.
@@ -60,28 +58,25 @@
 	 * Returns how much of the budget is in use.
 	 * @return bytes that all accounts hold
 	 */
-	public long heldBytes() {
-		return this.heldBytes.get();
+	public synchronized long heldBytes() {
+		return this.heldBytes;
 	}
 
 	/**
 	 * Returns how often a message was refused memory.
 	 * @return number of refusals since the start
 	 */
-	public long refusals() {
-		return this.refusals.get();
+	public synchronized long refusals() {
+		return this.refusals;
 	}
 
-	private boolean tryAdd(long addedBytes, long limitBytes) {
-		long before = this.heldBytes.get();
-		while (before + addedBytes <= limitBytes) {
-			if (this.heldBytes.compareAndSet(before, before + addedBytes)) {
-				return true;
-			}
-			before = this.heldBytes.get();
+	private synchronized boolean tryAdd(long addedBytes, long limitBytes) {
+		if (addedBytes > 0 && this.heldBytes + addedBytes > limitBytes) {
+			this.refusals++;
+			return false;
 		}
-		this.refusals.incrementAndGet();
-		return false;
+		this.heldBytes += addedBytes;
+		return true;
 	}
 
 	/**
@@ -103,12 +98,9 @@
 		public boolean tryResize(long newBytes) {
 			long limitBytes = (newBytes <= SMALL_MESSAGE_BYTES) ? MemoryBudget.this.maxBytes
 					: MemoryBudget.this.maxBytesWithLarge;
-			if (newBytes > this.bytes && !tryAdd(newBytes - this.bytes, limitBytes)) {
+			if (newBytes != this.bytes && !tryAdd(newBytes - this.bytes, limitBytes)) {
 				return false;
 			}
-			if (newBytes < this.bytes) {
-				MemoryBudget.this.heldBytes.addAndGet(newBytes - this.bytes);
-			}
 			this.bytes = newBytes;
 			return true;
 		}
