Report a connection that cannot be opened to the call's listener only

What callers saw: a request was answered with 500, ran at another server to its end 0.25 s later, and that response was lost; a queued one could fail a request of another caller.

Cause: StreamingHttpClient.connect sets the timer of the connection and then calls Undertow's client. If that throws, the exception reaches whoever starts the call (the arrival of a request, a queue check, a callback of another request), while the call lives on: its timer reports a failed connection 250 ms later, and the request is sent again although its caller has an answer.

Change: any throwable of Undertow's client fails the call through its listener, once, with the timer cancelled, and is logged with its stack and target.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -16,6 +16,8 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.DefaultByteBufferPool;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -32,6 +34,8 @@
  */
 public final class StreamingHttpClient implements AutoCloseable {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(StreamingHttpClient.class);
+
 	private static final int BUFFER_BYTES = 16 * 1024;
 
 	private static final int MAX_IDLE_CONNECTIONS_PER_TARGET = 256;
@@ -111,7 +115,8 @@
 	}
 
 	/**
-	 * Starts a call.
+	 * Starts a call. Any failure, also one to open a connection at all, is reported to
+	 * the listener.
 	 * @param call the call
 	 * @param listener receives the events of the call
 	 * @return handle of the call in progress
@@ -140,7 +145,7 @@
 				() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS));
 		ConnectingIoThread connectThread = this.connectThreads.computeIfAbsent(thread,
 				(delegate) -> new ConnectingIoThread(delegate, this.memory));
-		UndertowClient.getInstance().connect(new ClientCallback<>() {
+		ClientCallback<ClientConnection> callback = new ClientCallback<>() {
 
 			@Override
 			public void completed(ClientConnection connection) {
@@ -156,8 +161,20 @@
 				thread.execute(() -> running.fail(ex));
 			}
 
-		}, call.target(), connectThread, this.buffers,
-				OptionMap.builder().set(Options.TCP_NODELAY, true).set(UndertowOptions.ENABLE_HTTP2, false).getMap());
+		};
+		try {
+			UndertowClient.getInstance()
+				.connect(callback, call.target(), connectThread, this.buffers,
+						OptionMap.builder()
+							.set(Options.TCP_NODELAY, true)
+							.set(UndertowOptions.ENABLE_HTTP2, false)
+							.getMap());
+		}
+		catch (RuntimeException | Error ex) {
+			// Whoever started the call may be handling another request.
+			LOGGER.error("Opening a connection to {} failed unexpectedly", call.target(), ex);
+			callback.failed(new IOException("Opening a connection to " + call.target() + " failed unexpectedly", ex));
+		}
 	}
 
 	/**
--- a/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
@@ -12,6 +12,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -19,6 +20,7 @@
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
 import org.slf4j.LoggerFactory;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import io.anvilusher.model.request.HttpHeader;
@@ -105,6 +107,25 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] targetsThatCannotBeConnectedTo() {
+		return new Object[][] { { "http://127.0.0.1:99999" }, { "http://server.invalid:80" }, { "http://a_b:80" } };
+	}
+
+	/**
+	 * Guards against an exception that reaches whoever starts a call, while the call goes
+	 * on and reports a failed connection later.
+	 */
+	@Test(dataProvider = "targetsThatCannotBeConnectedTo")
+	public void callThatCannotOpenAConnectionFailsOnceAndThroughItsListener(String target) throws Exception {
+		try (StreamingHttpClient client = StreamingHttpClient.create("refusing", 1)) {
+			CountingListener listener = new CountingListener();
+			client.start(HttpCall.of("GET", URI.create(target), "/", new byte[0]), listener);
+			TimeUnit.MILLISECONDS.sleep(600);
+			assertEquals(listener.failures, List.of(false));
+		}
+	}
+
 	private static void readHead(Socket socket) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (!head.toString().endsWith("\r\n\r\n")) {
@@ -165,4 +186,30 @@
 
 	}
 
+	private static final class CountingListener implements HttpCallListener {
+
+		private final List<Boolean> failures = new CopyOnWriteArrayList<>();
+
+		@Override
+		public void onHead(int status, List<HttpHeader> headers, boolean framed) {
+			// There is no server.
+		}
+
+		@Override
+		public void onData(ByteBuffer data) {
+			data.position(data.limit());
+		}
+
+		@Override
+		public void onEnd() {
+			// There is no server.
+		}
+
+		@Override
+		public void onFailure(boolean sent, IOException cause) {
+			this.failures.add(sent);
+		}
+
+	}
+
 }
