Wait for addresses that are still in use at the start

What operators saw: a gateway did not start if one of its addresses was still in use, by the process before or as the local port of a connection. It ended at once with exit code 1 and a stack trace, also if only the address of its metrics was in use.

Cause: the exception of the listener went through to the main thread.

Metrics are no condition of serving callers: their listener is retried until it starts.

--- a/adapters/src/main/java/io/anvilusher/adapters/metrics/AdminServer.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/metrics/AdminServer.java
@@ -1,5 +1,7 @@
 package io.anvilusher.adapters.metrics;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -10,6 +12,8 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 
+import io.anvilusher.adapters.http.ServerStart;
+
 /**
  * Serves {@code /livez}, {@code /readyz}, {@code /metrics} and {@code /status} of a
  * process.
@@ -33,17 +37,27 @@
 	 * @param ready returns whether the process accepts work
 	 * @param status returns the status of the process as JSON
 	 * @return the running server
+	 * @throws UncheckedIOException if the server cannot listen at the address
 	 */
 	public static AdminServer start(InetSocketAddress address, Meters meters, BooleanSupplier ready,
 			Supplier<String> status) {
-		Undertow undertow = Undertow.builder()
+		try {
+			return new AdminServer(
+					ServerStart.whenAddressIsFree(() -> build(address, meters, ready, status), address, 0));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static Undertow build(InetSocketAddress address, Meters meters, BooleanSupplier ready,
+			Supplier<String> status) {
+		return Undertow.builder()
 			.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
 			.setIoThreads(1)
 			.setWorkerThreads(1)
 			.setHandler((exchange) -> handle(exchange, meters, ready, status))
 			.build();
-		undertow.start();
-		return new AdminServer(undertow);
 	}
 
 	private static void handle(HttpServerExchange exchange, Meters meters, BooleanSupplier ready,
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -102,6 +103,14 @@
 	 */
 	private static final long SHUTDOWN_CALLS_MS = 100;
 
+	/**
+	 * Longest wait at the start for an address that is still in use: longer than the
+	 * usual grace periods of a process that is being replaced.
+	 */
+	private static final long LISTEN_WAIT_MS = 20_000;
+
+	private static final long ADMIN_RETRY_DELAY_MS = 1_000;
+
 	/** Longest wait for the traffic thread to finish what it has read. */
 	private static final long LAST_PASS_MS = 200;
 
@@ -145,6 +154,8 @@
 
 	private volatile boolean draining;
 
+	private volatile boolean metricsDelayed;
+
 	private Gateway(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		this.settings = settings;
 		StreamingHttpClient.loadProviders();
@@ -203,14 +214,16 @@
 	 * @param settings its settings
 	 * @param factory creates the adapter of the deployment
 	 * @return the running gateway
-	 * @throws IOException if its threads cannot be created
+	 * @throws IOException if its threads cannot be created, or an address for callers or
+	 * the readiness check stays in use
 	 */
 	public static Gateway start(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		Gateway gateway = new Gateway(settings, factory);
-		gateway.httpServer.start();
+		gateway.httpServer.start(LISTEN_WAIT_MS);
 		gateway.lagMonitor.start();
-		ReadinessServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady);
-		AdminServer.start(settings.metricsAddress(), gateway.meters, gateway::isReady, gateway::status);
+		ReadinessServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady,
+				LISTEN_WAIT_MS);
+		gateway.startAdminServer();
 		// The first calls to the store are made only now, after this thread has loaded
 		// the classes needed for the start.
 		gateway.startFollowers();
@@ -223,6 +236,21 @@
 		return gateway;
 	}
 
+	// Callers are served without metrics as well.
+	private void startAdminServer() {
+		try {
+			AdminServer.start(this.settings.metricsAddress(), this.meters, this::isReady, this::status);
+			LOGGER.info("Metrics are at {}", this.settings.metricsAddress());
+		}
+		catch (UncheckedIOException ex) {
+			if (!this.metricsDelayed) {
+				LOGGER.error("Metrics are not served yet; retrying every {} ms", ADMIN_RETRY_DELAY_MS, ex);
+			}
+			this.metricsDelayed = true;
+			this.control.after(ADMIN_RETRY_DELAY_MS, this::startAdminServer);
+		}
+	}
+
 	private void startFollowers() {
 		long waitMs = (long) (READ_WAIT_SHARE * this.settings.catchUpMs());
 		long serversDelayMs = (long) (SERVERS_DELAY_SHARE * this.settings.drainMs());
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -27,6 +27,7 @@
 
 import io.anvilusher.adapters.http.ActiveRequests;
 import io.anvilusher.adapters.http.CallerServers;
+import io.anvilusher.adapters.http.ServerStart;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.request.CallerResponse;
@@ -92,7 +93,9 @@
 	 */
 	private static final long CLOSE_DELAY_MS = 500;
 
-	private final Undertow undertow;
+	private final InetSocketAddress address;
+
+	private final XnioWorker worker;
 
 	private final WireFormat format;
 
@@ -117,7 +120,7 @@
 	private volatile @Nullable DrainAdmission drainAdmission;
 
 	/**
-	 * Creates the server; it listens only after {@link #start()}.
+	 * Creates the server; it listens only after {@link #start(long)}.
 	 * @param address address to listen at
 	 * @param worker the worker that runs the traffic thread
 	 * @param format header and body formats of the deployment
@@ -140,24 +143,31 @@
 		this.lagMs = lagMs;
 		this.activeRequests = new ActiveRequests(meters);
 		this.thread = worker.getIoThread();
-		this.undertow = CallerServers
-			.builder(address,
+		this.address = address;
+		this.worker = worker;
+	}
+
+	/**
+	 * Starts to accept connections.
+	 * @param maxWaitMs longest wait for the address if it is still in use, in ms
+	 * @throws IOException if the server cannot listen at its address
+	 */
+	public void start(long maxWaitMs) throws IOException {
+		ServerStart.whenAddressIsFree(this::build, this.address, maxWaitMs);
+	}
+
+	private Undertow build() {
+		return CallerServers
+			.builder(this.address,
 					new CallerServers.Limits(MAX_HEADERS_BYTES, MAX_BODY_BYTES, HEADERS_TIMEOUT_MS, IDLE_TIMEOUT_MS),
 					ACCEPT_BACKLOG)
-			.setWorker(worker)
+			.setWorker(this.worker)
 			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
 			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
 			.setHandler(this::handle)
 			.build();
 	}
 
-	/**
-	 * Starts to accept connections.
-	 */
-	public void start() {
-		this.undertow.start();
-	}
-
 	private void handle(HttpServerExchange exchange) {
 		this.activeRequests.add(exchange);
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange));
--- a/gateway/src/main/java/io/anvilusher/gateway/http/ReadinessServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/ReadinessServer.java
@@ -1,11 +1,14 @@
 package io.anvilusher.gateway.http;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 
 import io.undertow.Undertow;
 import org.xnio.XnioWorker;
 
+import io.anvilusher.adapters.http.ServerStart;
+
 /**
  * HTTP server for the load balancer's readiness check.
  */
@@ -27,9 +30,16 @@
 	 * @param path path of the readiness check
 	 * @param worker runs the server's threads
 	 * @param ready returns whether the gateway accepts new connections
+	 * @param maxWaitMs longest wait for the address if it is still in use, in ms
+	 * @throws IOException if the server cannot listen at its address
 	 */
-	public static void start(InetSocketAddress address, String path, XnioWorker worker, BooleanSupplier ready) {
-		Undertow.builder()
+	public static void start(InetSocketAddress address, String path, XnioWorker worker, BooleanSupplier ready,
+			long maxWaitMs) throws IOException {
+		ServerStart.whenAddressIsFree(() -> build(address, path, worker, ready), address, maxWaitMs);
+	}
+
+	private static Undertow build(InetSocketAddress address, String path, XnioWorker worker, BooleanSupplier ready) {
+		return Undertow.builder()
 			.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
 			.setWorker(worker)
 			.setHandler((exchange) -> {
@@ -37,8 +47,7 @@
 				exchange.setStatusCode(exchange.getRequestPath().equals(path) ? status : NOT_FOUND);
 				exchange.endExchange();
 			})
-			.build()
-			.start();
+			.build();
 	}
 
 }
