Take a request out of the queue while it is being placed

Cause: a queued request stayed in the queue while it was placed and sent, and was removed only after that had returned. When sending threw an exception, it stayed queued although it was at a server. The next check, 5 ms later, sent it once more, or expired it: its caller was then told 503 (not run) while it ran. A nested placement sent it again as well.

Change: a request is removed first, and put back at its place only if it found no server. An exception leaves it out of the queue; what its caller is told then follows from its attempt, which is known to be sending by that time.

--- a/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
@@ -1,6 +1,7 @@
 package io.anvilusher.logic.placement;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.List;
@@ -26,7 +27,7 @@
 	/** Maximum queue length. More requests could not be placed before they expire. */
 	static final int MAX_LENGTH = 64;
 
-	private final Deque<QueuedRequest<T>> queue = new ArrayDeque<>();
+	private final List<QueuedRequest<T>> queue = new ArrayList<>();
 
 	/**
 	 * Adds a request at the end of the queue.
@@ -40,17 +41,28 @@
 		if (this.queue.size() >= MAX_LENGTH) {
 			return false;
 		}
-		this.queue.addLast(new QueuedRequest<>(request, nowMs + (long) (MAX_QUEUE_TIME_SHARE * targetMs)));
+		this.queue.add(new QueuedRequest<>(request, nowMs + (long) (MAX_QUEUE_TIME_SHARE * targetMs)));
 		return true;
 	}
 
 	/**
 	 * Tries to place each queued request, oldest first. A request that finds no server
-	 * does not hold up those behind it: the homes of their prompts may have capacity.
+	 * does not hold up those behind it: the homes of their prompts may have capacity. A
+	 * request is not queued while it is being placed, and is queued again only if that
+	 * returns that it found no server. If placing it throws an exception, it is unknown
+	 * whether it was sent, so it must not be placed again.
 	 * @param place tries to place a request and returns whether it did
 	 */
 	public void placeQueued(Predicate<T> place) {
-		List.copyOf(this.queue).stream().filter((queued) -> place.test(queued.request())).forEach(this.queue::remove);
+		for (QueuedRequest<T> queued : List.copyOf(this.queue)) {
+			int index = this.queue.indexOf(queued);
+			if (index >= 0) {
+				this.queue.remove(index);
+				if (!place.test(queued.request())) {
+					this.queue.add(Math.min(index, this.queue.size()), queued);
+				}
+			}
+		}
 	}
 
 	/**
