End only the request whose handling throws

Cause: callbacks on the traffic thread were not bounded by the request that they belong to. What threw in one request passed through the callbacks of another one (a queued request is placed while the first event of a stream is handled), into Undertow and XNIO, which log it and go on. The request that threw was neither answered nor released, and the one it passed through lost what it was about to do.

Change: each step of a request that the network, a timer, the queue or a probe starts is guarded by the request itself. An exception ends that request and nothing else: the caller is told whether it may have run, or its connection is closed if a response has begun, and attempts, memory, timer, queue entry and KV cache are given back one by one, also if one of these steps throws. It is not sent again, as it is unknown how far the step had come. A call to a server whose step throws fails, and its listener is told so once. One log line has the exception, the request's id, the server and whether it may have run.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -60,6 +60,8 @@
 
 	private boolean ended;
 
+	private boolean failureNotified;
+
 	private boolean paused;
 
 	private boolean cancelled;
@@ -71,7 +73,15 @@
 		this.thread = thread;
 	}
 
+	/**
+	 * Sends the request on a connection. If that is not possible, the listener is told.
+	 * @param opened the connection, which no other call uses
+	 */
 	void send(ServerConnection opened) {
+		guard(() -> sendNow(opened));
+	}
+
+	private void sendNow(ServerConnection opened) {
 		if (this.cancelled) {
 			IoUtils.safeClose(opened.connection());
 			fail(new IOException("Cancelled before it was sent"));
@@ -89,8 +99,10 @@
 
 			@Override
 			public void completed(ClientExchange exchange) {
-				awaitResponse(exchange);
-				writeBody(exchange);
+				guard(() -> {
+					awaitResponse(exchange);
+					writeBody(exchange);
+				});
 			}
 
 			@Override
@@ -122,7 +134,7 @@
 		}
 		ByteBuffer body = ByteBuffer.wrap(this.call.body());
 		StreamSinkChannel sink = exchange.getRequestChannel();
-		sink.getWriteSetter().set((channel) -> writeBody(sink, body));
+		sink.getWriteSetter().set((channel) -> guard(() -> writeBody(sink, body)));
 		writeBody(sink, body);
 	}
 
@@ -153,7 +165,7 @@
 
 			@Override
 			public void completed(ClientExchange responded) {
-				onResponseHead(responded);
+				guard(() -> onResponseHead(responded));
 			}
 
 			@Override
@@ -182,7 +194,7 @@
 		this.listener.onHead(response.getResponseCode(), headers, framed);
 		StreamSourceChannel source = exchange.getResponseChannel();
 		this.responseChannel = source;
-		source.getReadSetter().set(this::readBody);
+		source.getReadSetter().set((channel) -> guard(() -> readBody(channel)));
 		if (!this.paused) {
 			source.wakeupReads();
 		}
@@ -257,16 +269,76 @@
 		}
 	}
 
+	/**
+	 * Fails the call and closes its connection, unless it has ended.
+	 * @param cause cause of the failure, which the listener gets
+	 */
 	void fail(IOException cause) {
-		if (this.ended) {
-			return;
+		if (!this.ended) {
+			guard(() -> failNow(cause));
 		}
+	}
+
+	private void failNow(IOException cause) {
 		this.ended = true;
-		if (this.connection != null) {
-			this.connection.input().onEnd();
-			closeImmediately(this.connection.connection());
+		// A connection that opens later must not carry the request any more.
+		this.cancelled = true;
+		try {
+			if (this.connection != null) {
+				this.connection.input().onEnd();
+				closeImmediately(this.connection.connection());
+			}
+		}
+		finally {
+			notifyFailure(cause);
+		}
+	}
+
+	private void notifyFailure(IOException cause) {
+		if (!this.failureNotified) {
+			this.failureNotified = true;
+			this.listener.onFailure(this.requestSent, cause);
+		}
+	}
+
+	/**
+	 * Runs a step of the call. Undertow does not tell the call when a step throws, so the
+	 * listener would wait for ever.
+	 */
+	private void guard(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | Error ex) {
+			onUnexpected(ex);
+		}
+	}
+
+	/**
+	 * Fails the call because of an exception that no step expects. The listener is told
+	 * once, also if it threw itself when it was told of the end.
+	 * @param cause the exception or error
+	 */
+	void onUnexpected(Throwable cause) {
+		UnexpectedCallException failure = new UnexpectedCallException(this.call.target().getAuthority(), cause);
+		LOGGER.atError()
+			.setCause(cause)
+			.addKeyValue("server_address", this.call.target().getAuthority())
+			.addKeyValue("method", this.call.method())
+			.addKeyValue("path", this.call.path())
+			.addKeyValue("sent", this.requestSent)
+			.log("Unexpected exception in a call to a server; the call fails");
+		try {
+			if (this.ended) {
+				notifyFailure(failure);
+			}
+			else {
+				failNow(failure);
+			}
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.error("A call could not be ended after an unexpected exception", ex);
 		}
-		this.listener.onFailure(this.requestSent, cause);
 	}
 
 	// Undertow's close waits until the server closes its side too, which a server that is
@@ -295,10 +367,10 @@
 
 	private void runOnIoThread(Runnable task) {
 		if (Thread.currentThread() == this.thread) {
-			task.run();
+			guard(task);
 			return;
 		}
-		this.thread.execute(task);
+		this.thread.execute(() -> guard(task));
 	}
 
 	@Override
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
@@ -7,6 +7,8 @@
 
 import io.undertow.server.HttpServerExchange;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.channels.StreamSinkChannel;
 
@@ -18,6 +20,8 @@
  */
 public final class ResponseWriter {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(ResponseWriter.class);
+
 	private final HttpServerExchange exchange;
 
 	private final Deque<Part> queuedParts = new ArrayDeque<>();
@@ -71,7 +75,7 @@
 			return;
 		}
 		this.channel = opened;
-		opened.getWriteSetter().set((ready) -> drain());
+		opened.getWriteSetter().set((ready) -> drainOrClose());
 	}
 
 	/**
@@ -143,6 +147,20 @@
 		}
 	}
 
+	// Nothing else would end the response if the listener of the connection threw.
+	private void drainOrClose() {
+		try {
+			drain();
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.atError()
+				.setCause(ex)
+				.addKeyValue("path", this.exchange.getRequestURI())
+				.log("Unexpected exception while a response is written; the connection to the caller is closed");
+			close();
+		}
+	}
+
 	private boolean writeParts(StreamSinkChannel responseChannel) throws IOException {
 		while (!this.queuedParts.isEmpty()) {
 			Part part = this.queuedParts.getFirst();
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -150,9 +150,15 @@
 			@Override
 			public void completed(ClientConnection connection) {
 				cancelTimeout.run();
-				connection.addCloseListener((closed) -> removeIdleConnection(call.target(), connection));
-				ServerConnection opened = new ServerConnection(connection, connectThread.opening());
-				connection.getIoThread().execute(() -> running.send(opened));
+				try {
+					connection.addCloseListener((closed) -> removeIdleConnection(call.target(), connection));
+					ServerConnection opened = new ServerConnection(connection, connectThread.opening());
+					connection.getIoThread().execute(() -> running.send(opened));
+				}
+				catch (RuntimeException | Error ex) {
+					IoUtils.safeClose(connection);
+					running.onUnexpected(ex);
+				}
 			}
 
 			@Override
--- a/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
@@ -119,13 +119,42 @@
 	@Test(dataProvider = "targetsThatCannotBeConnectedTo")
 	public void callThatCannotOpenAConnectionFailsOnceAndThroughItsListener(String target) throws Exception {
 		try (StreamingHttpClient client = StreamingHttpClient.create("refusing", 1)) {
-			CountingListener listener = new CountingListener();
+			CountingListener listener = new CountingListener("");
 			client.start(HttpCall.of("GET", URI.create(target), "/", new byte[0]), listener);
 			TimeUnit.MILLISECONDS.sleep(600);
 			assertEquals(listener.failures, List.of(false));
 		}
 	}
 
+	@DataProvider
+	public Object[][] throwingListenerMethods() {
+		return new Object[][] { { "onSending" }, { "onHead" }, { "onData" }, { "onEnd" } };
+	}
+
+	/**
+	 * Guards against calls whose listener throws once, and which are then never ended.
+	 */
+	@Test(dataProvider = "throwingListenerMethods")
+	public void listenerThatThrowsIsToldOnceThatTheCallFailed(String method) throws Exception {
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				StreamingHttpClient client = StreamingHttpClient.create("throwing", 1)) {
+			CompletableFuture.runAsync(() -> {
+				try {
+					respond(listener.accept());
+				}
+				catch (IOException ex) {
+					throw new java.io.UncheckedIOException(ex);
+				}
+			});
+			CountingListener counting = new CountingListener(method);
+			client.start(
+					HttpCall.of("GET", URI.create("http://127.0.0.1:" + listener.getLocalPort()), "/", new byte[0]),
+					counting);
+			TimeUnit.MILLISECONDS.sleep(400);
+			assertEquals(counting.failures, List.of(true));
+		}
+	}
+
 	private static void readHead(Socket socket) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (!head.toString().endsWith("\r\n\r\n")) {
@@ -190,19 +219,37 @@
 
 		private final List<Boolean> failures = new CopyOnWriteArrayList<>();
 
+		private final String throwing;
+
+		CountingListener(String throwing) {
+			this.throwing = throwing;
+		}
+
+		private void throwIn(String method) {
+			if (this.throwing.equals(method)) {
+				throw new IllegalStateException("thrown by the test");
+			}
+		}
+
+		@Override
+		public void onSending() {
+			throwIn("onSending");
+		}
+
 		@Override
 		public void onHead(int status, List<HttpHeader> headers, boolean framed) {
-			// There is no server.
+			throwIn("onHead");
 		}
 
 		@Override
 		public void onData(ByteBuffer data) {
+			throwIn("onData");
 			data.position(data.limit());
 		}
 
 		@Override
 		public void onEnd() {
-			// There is no server.
+			throwIn("onEnd");
 		}
 
 		@Override
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -82,6 +82,11 @@
 	/** Retry-After delay while draining: the time to open a new connection. */
 	private static final long DRAINING_RETRY_AFTER_MS = 20;
 
+	/**
+	 * Retry-After delay after an unexpected exception: the time to open a new connection.
+	 */
+	private static final long FAILED_RETRY_AFTER_MS = 20;
+
 	private static final long DRAIN_CHECK_INTERVAL_MS = 10;
 
 	/** Longest wait for the last responses at the end of a drain. */
@@ -170,7 +175,28 @@
 
 	private void handle(HttpServerExchange exchange) {
 		this.activeRequests.add(exchange);
-		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> accept(exchange));
+		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> guard(exchange, () -> accept(exchange)));
+	}
+
+	/**
+	 * Runs a step of a request that has not been handed to the dispatcher. If it throws,
+	 * the request has not been sent to a server, and its caller is told so.
+	 */
+	private void guard(HttpServerExchange exchange, Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.atError()
+				.setCause(ex)
+				.addKeyValue("request_id", this.format.requestId(exchange.getRequestHeaders()))
+				.addKeyValue("host", exchange.getHostAndPort())
+				.addKeyValue("path", exchange.getRequestURI())
+				.log("Unexpected exception before the request was sent to a server; it is refused");
+			this.meters.refused("", RefusalReason.GATEWAY_FAILED);
+			new CallerResponse(exchange).endUnexpectedly(RefusalReason.GATEWAY_FAILED,
+					OptionalLong.of(FAILED_RETRY_AFTER_MS));
+		}
 	}
 
 	private void accept(HttpServerExchange exchange) {
@@ -210,12 +236,15 @@
 		}
 		String service = RouteIndex.selectService(route.get(), this.random.nextDouble());
 		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs);
-		exchange.getRequestReceiver()
-			.receiveFullBytes((read,
-					body) -> read.dispatch(SameThreadExecutor.INSTANCE, () -> unread.onBody(new RequestInput(read, head,
-							body, route.get(), service, workspace, table.version(), arrivedAtMs))),
-					(failed, ex) -> unread.onFailed(ex));
-		unread.awaitBody();
+		unread.guard(() -> {
+			exchange.getRequestReceiver()
+				.receiveFullBytes(
+						(read, body) -> read.dispatch(SameThreadExecutor.INSTANCE,
+								() -> unread.guard(() -> unread.onBody(new RequestInput(read, head, body, route.get(),
+										service, workspace, table.version(), arrivedAtMs)))),
+						(failed, ex) -> unread.onFailed(ex));
+			unread.awaitBody();
+		});
 	}
 
 	private boolean acceptsWhileDraining(long timeoutAtMs) {
@@ -268,8 +297,8 @@
 		CountDownLatch ended = new CountDownLatch(1);
 		this.thread.execute(() -> {
 			List.copyOf(this.unreadRequests)
-				.forEach((unread) -> unread.refuseUnread(RefusalReason.ENTRY_DRAINING,
-						OptionalLong.of(DRAINING_RETRY_AFTER_MS)));
+				.forEach((unread) -> unread.guard(() -> unread.refuseUnread(RefusalReason.ENTRY_DRAINING,
+						OptionalLong.of(DRAINING_RETRY_AFTER_MS))));
 			this.dispatcher.endAll();
 			ended.countDown();
 		});
@@ -309,10 +338,23 @@
 			GatewayHttpServer server = GatewayHttpServer.this;
 			server.unreadRequests.add(this);
 			this.cancelTimeout = server.thread.executeAfter(
-					() -> refuseUnread(RefusalReason.CALLER_TOO_SLOW, OptionalLong.empty()),
+					() -> guard(() -> refuseUnread(RefusalReason.CALLER_TOO_SLOW, OptionalLong.empty())),
 					Math.max(0, this.timeoutAtMs - server.clock.nowMs()), TimeUnit.MILLISECONDS)::remove;
 		}
 
+		// A body that arrives after the exception must not start the request.
+		void guard(Runnable step) {
+			GatewayHttpServer.this.guard(this.exchange, () -> {
+				try {
+					step.run();
+				}
+				catch (RuntimeException | Error ex) {
+					end();
+					throw ex;
+				}
+			});
+		}
+
 		private boolean end() {
 			boolean first = !this.ended;
 			this.ended = true;
--- a/gateway/src/main/java/io/anvilusher/gateway/request/CallerResponse.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/CallerResponse.java
@@ -55,6 +55,32 @@
 				body.getBytes(StandardCharsets.UTF_8));
 	}
 
+	/**
+	 * Ends the response after an unexpected exception, in whatever state it is: refuses
+	 * the request if no response has been started, otherwise closes the connection, so
+	 * that the caller does not take a part for the whole.
+	 * @param reason why the request is refused
+	 * @param retryAfterMs delay after which the caller should retry, in ms; empty for no
+	 * Retry-After header
+	 */
+	public void endUnexpectedly(RefusalReason reason, OptionalLong retryAfterMs) {
+		if (this.exchange.isComplete()) {
+			return;
+		}
+		if (this.exchange.isResponseStarted()) {
+			this.writer.close();
+			return;
+		}
+		try {
+			this.exchange.getResponseHeaders().clear();
+			refuse(reason, retryAfterMs);
+		}
+		catch (RuntimeException | Error ex) {
+			this.writer.close();
+			throw ex;
+		}
+	}
+
 	void send(int status, List<HttpHeader> headers, byte[] body) {
 		if (this.exchange.isResponseStarted()) {
 			return;
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -147,8 +147,13 @@
 		List.copyOf(this.activeRequests).forEach(GatewayRequest::endForShutdown);
 	}
 
-	void onFinished(GatewayRequest request) {
+	/**
+	 * Forgets a request that has ended: it is neither placed nor ended again.
+	 * @param request the request
+	 */
+	void forget(GatewayRequest request) {
 		this.activeRequests.remove(request);
+		serviceState(request.input().service()).queue().remove(request);
 	}
 
 	Placement place(GatewayRequest request, Set<String> excludedServers) {
@@ -243,14 +248,18 @@
 	}
 
 	private void checkQueues() {
-		long nowMs = nowMs();
-		this.serviceStates.values().forEach((state) -> {
-			state.queue().placeQueued(GatewayRequest::tryPlace);
-			state.queue().expire(nowMs, GatewayRequest::refuseSaturated);
-		});
-		this.checkScheduled = this.serviceStates.values().stream().anyMatch((state) -> state.queue().size() > 0);
-		if (this.checkScheduled) {
-			schedule(QUEUE_CHECK_INTERVAL_MS, this::checkQueues);
+		try {
+			long nowMs = nowMs();
+			this.serviceStates.values().forEach((state) -> {
+				state.queue().placeQueued(GatewayRequest::tryPlace);
+				state.queue().expire(nowMs, GatewayRequest::refuseSaturated);
+			});
+		}
+		finally {
+			this.checkScheduled = this.serviceStates.values().stream().anyMatch((state) -> state.queue().size() > 0);
+			if (this.checkScheduled) {
+				schedule(QUEUE_CHECK_INTERVAL_MS, this::checkQueues);
+			}
 		}
 	}
 
@@ -305,7 +314,7 @@
 			try {
 				task.run();
 			}
-			catch (RuntimeException ex) {
+			catch (RuntimeException | Error ex) {
 				LOGGER.error("A scheduled task failed on the traffic thread; the thread continues", ex);
 			}
 		};
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -121,14 +122,69 @@
 	}
 
 	void start() {
-		this.response.onCallerDisconnected(this::onCallerDisconnected);
-		this.cancelTimeout = this.dispatcher.schedule(this.input.timeoutAtMs() - this.dispatcher.nowMs(),
-				this::onTimeout);
-		if (!refuseSuspect()) {
-			placeOrEnqueue();
+		guard(() -> {
+			this.response.onCallerDisconnected(() -> guard(this::onCallerDisconnected));
+			this.cancelTimeout = this.dispatcher.schedule(this.input.timeoutAtMs() - this.dispatcher.nowMs(),
+					() -> guard(this::onTimeout));
+			if (!refuseSuspect()) {
+				placeOrEnqueue();
+			}
+		});
+	}
+
+	/**
+	 * Runs a step of this request. An exception ends this request only, even if the step
+	 * runs within a step of another one.
+	 */
+	private void guard(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | Error ex) {
+			endUnexpectedly(this.currentAttempt, ex);
 		}
 	}
 
+	/**
+	 * Ends the request after an unexpected exception: its caller is told whether it may
+	 * have run, and what it holds is given back. It is not sent again, since it is
+	 * unknown how far the failed step has come.
+	 * @param attempt the attempt that was being handled; null if there is none yet
+	 * @param cause the exception or error
+	 */
+	void endUnexpectedly(@Nullable ServerAttempt attempt, Throwable cause) {
+		boolean ended = this.done;
+		this.done = true;
+		this.mayHaveRun |= Stream.of(Optional.ofNullable(attempt), Optional.ofNullable(this.currentAttempt))
+			.flatMap(Optional::stream)
+			.anyMatch(ServerAttempt::mayHaveRun);
+		RefusalReason reason = this.mayHaveRun ? RefusalReason.SERVER_LOST : RefusalReason.GATEWAY_FAILED;
+		LOGGER.atError()
+			.setCause(cause)
+			.addKeyValue("request_id", this.input.head().attemptId())
+			.addKeyValue("service", this.input.service())
+			.addKeyValue("server", (attempt != null) ? attempt.serverId() : "")
+			.addKeyValue("may_have_run", this.mayHaveRun)
+			.addKeyValue("stream_started", this.streamStarted)
+			.addKeyValue("already_ended", ended)
+			.log("Unexpected exception; the request ends");
+		UnexpectedExceptions.runAll(() -> Optional.ofNullable(attempt).ifPresent(ServerAttempt::endUnexpectedly),
+				() -> Optional.ofNullable(this.currentAttempt).ifPresent(ServerAttempt::endUnexpectedly),
+				() -> this.response.endUnexpectedly(reason, retryAfterMs(reason)), this.cancelTimeout,
+				() -> this.dispatcher.forget(this), this::releaseMemory, this::freeUnfetchedKvCache, () -> {
+					if (!ended) {
+						this.dispatcher.meters().refused(this.input.service(), reason);
+						recordEnd(reason.code(), this.streamStarted ? 0 : reason.httpStatus());
+					}
+				});
+	}
+
+	private void freeUnfetchedKvCache() {
+		Optional<KvStep.Fetch> unfetched = this.unfetchedKvCache;
+		this.unfetchedKvCache = Optional.empty();
+		unfetched.ifPresent(this.dispatcher::freeKvCache);
+	}
+
 	private boolean refuseSuspect() {
 		boolean refused = this.dispatcher.suspects().isRefused(this.input::subjects);
 		if (refused) {
@@ -143,7 +199,7 @@
 			placeOrEnqueueNow();
 			return;
 		}
-		this.dispatcher.probe(engines, this.input.route().targetMs(), this::placeOrEnqueueNow);
+		this.dispatcher.probe(engines, this.input.route().targetMs(), () -> guard(this::placeOrEnqueueNow));
 	}
 
 	private void placeOrEnqueueNow() {
@@ -159,6 +215,16 @@
 	 * sent, refused or has ended
 	 */
 	boolean tryPlace() {
+		try {
+			return tryPlaceNow();
+		}
+		catch (RuntimeException | Error ex) {
+			endUnexpectedly(this.currentAttempt, ex);
+			return true;
+		}
+	}
+
+	private boolean tryPlaceNow() {
 		if (this.done || refuseSuspect()) {
 			return true;
 		}
@@ -200,7 +266,7 @@
 	}
 
 	void refuseSaturated() {
-		refuse(RefusalReason.SERVICE_SATURATED);
+		guard(() -> refuse(RefusalReason.SERVICE_SATURATED));
 	}
 
 	/**
@@ -348,14 +414,18 @@
 		// reason that contradicts what is known about the attempts is replaced.
 		RefusalReason reason = (proposed.notRun() && this.mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
 		reason = (!proposed.notRun() && !this.mayHaveRun) ? RefusalReason.NO_SERVER : reason;
-		boolean worthRetrying = reason.notRun() && reason != RefusalReason.SUSPECTED_OF_CRASHES;
-		OptionalLong retryAfterMs = worthRetrying ? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service()))
-				: OptionalLong.empty();
+		OptionalLong retryAfterMs = retryAfterMs(reason);
 		finish(reason.code(), reason.httpStatus());
 		this.dispatcher.meters().refused(this.input.service(), reason);
 		this.response.refuse(reason, retryAfterMs);
 	}
 
+	private OptionalLong retryAfterMs(RefusalReason reason) {
+		boolean worthRetrying = reason.notRun() && reason != RefusalReason.SUSPECTED_OF_CRASHES;
+		return worthRetrying ? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service()))
+				: OptionalLong.empty();
+	}
+
 	private void abortStream(String cause) {
 		finish("broken off: " + cause, 0);
 		this.response.abort();
@@ -371,9 +441,11 @@
 	 * Ends the request because the process ends.
 	 */
 	void endForShutdown() {
-		if (!this.done) {
-			refuseInProgress(RefusalReason.SERVER_LOST, RefusalReason.ENTRY_DRAINING);
-		}
+		guard(() -> {
+			if (!this.done) {
+				refuseInProgress(RefusalReason.SERVER_LOST, RefusalReason.ENTRY_DRAINING);
+			}
+		});
 	}
 
 	private void refuseInProgress(RefusalReason reasonIfRun, RefusalReason reasonIfNotRun) {
@@ -479,7 +551,7 @@
 			this.streamStarted = true;
 			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
 		}
-		this.response.sendEvents(completeEvents, this::onEventsWritten);
+		this.response.sendEvents(completeEvents, () -> guard(this::onEventsWritten));
 		if (this.response.pendingBytes() > MAX_PENDING_BYTES) {
 			pauseServer(attempt);
 		}
@@ -534,10 +606,13 @@
 
 	private void finish(String outcome, int status) {
 		this.done = true;
-		this.dispatcher.onFinished(this);
+		this.dispatcher.forget(this);
 		this.cancelTimeout.run();
-		this.dispatcher.serviceState(this.input.service()).queue().remove(this);
-		this.unfetchedKvCache.ifPresent(this.dispatcher::freeKvCache);
+		freeUnfetchedKvCache();
+		recordEnd(outcome, status);
+	}
+
+	private void recordEnd(String outcome, int status) {
 		long nowMs = this.dispatcher.nowMs();
 		this.dispatcher.recordEnd(this.input.service(), status, this.firstResultMs, nowMs - this.input.arrivedAtMs());
 		LOGGER.atInfo()
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -14,6 +14,7 @@
 import io.anvilusher.adapters.http.HttpCall;
 import io.anvilusher.adapters.http.HttpCallListener;
 import io.anvilusher.adapters.http.RunningCall;
+import io.anvilusher.adapters.http.UnexpectedCallException;
 import io.anvilusher.gateway.wire.ForwardingInfo;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
@@ -204,6 +205,10 @@
 
 	@Override
 	public void onHead(int status, List<HttpHeader> headers, boolean responseFramed) {
+		guard(() -> readHead(status, headers, responseFramed));
+	}
+
+	private void readHead(int status, List<HttpHeader> headers, boolean responseFramed) {
 		if (this.ignored) {
 			return;
 		}
@@ -268,6 +273,29 @@
 		this.request.onNotRun(this, misdirected ? AttemptFailure.SERVER_UNREACHABLE : AttemptFailure.SERVER_FULL, true);
 	}
 
+	private void guard(Runnable step) {
+		try {
+			step.run();
+		}
+		catch (RuntimeException | Error ex) {
+			this.request.endUnexpectedly(this, ex);
+		}
+	}
+
+	/**
+	 * Ends the attempt after an unexpected exception. Counts the run if the server's
+	 * response shows one.
+	 */
+	void endUnexpectedly() {
+		boolean answered = this.head != null && !this.head.notRun() && this.head.status() != MISDIRECTED
+				&& !(this.step instanceof KvStep.Prefill);
+		UnexpectedExceptions.runAll(() -> {
+			if (answered) {
+				countRun(this.dispatcher.nowMs());
+			}
+		}, this::cancel, this::end, this::releaseMemory);
+	}
+
 	private void skip(int bytes) {
 		this.skippedBytes += bytes;
 		if (this.skippedBytes > MAX_SKIPPED_BYTES && this.call != null) {
@@ -369,6 +397,10 @@
 
 	@Override
 	public void onData(ByteBuffer data) {
+		guard(() -> readData(data));
+	}
+
+	private void readData(ByteBuffer data) {
 		if (this.ignored) {
 			skip(data.remaining());
 			return;
@@ -400,6 +432,10 @@
 
 	@Override
 	public void onEnd() {
+		guard(this::readEnd);
+	}
+
+	private void readEnd() {
 		if (this.ignored) {
 			return;
 		}
@@ -450,6 +486,14 @@
 		if (this.ignored) {
 			return;
 		}
+		if (cause instanceof UnexpectedCallException) {
+			this.request.endUnexpectedly(this, cause);
+			return;
+		}
+		guard(() -> fail(sent));
+	}
+
+	private void fail(boolean sent) {
 		this.ignored = true;
 		end();
 		releaseMemory();
@@ -470,8 +514,9 @@
 
 	private void releasePrompt() {
 		if (!this.promptReleased) {
+			long nowMs = this.dispatcher.nowMs();
 			this.promptReleased = true;
-			this.trackedServer.window().onSettled(this.uncachedTokens, this.dispatcher.nowMs());
+			this.trackedServer.window().onSettled(this.uncachedTokens, nowMs);
 		}
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -137,7 +137,14 @@
 
 	private void probe(LostRequests lost, boolean first) {
 		this.client.acceptsConnections(lost.server)
-			.thenAcceptAsync((accepting) -> onProbed(lost, accepting, first), this.thread);
+			.thenAcceptAsync((accepting) -> onProbed(lost, accepting, first), this.thread)
+			.exceptionally((failure) -> {
+				// Without this, the server would never be probed again.
+				this.lostByServer.remove(lost.server.id(), lost);
+				LOGGER.error("Probing server {} after a lost connection failed unexpectedly", lost.server.id(),
+						failure);
+				return null;
+			});
 	}
 
 	private void onProbed(LostRequests lost, boolean accepting, boolean first) {
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/WireFormat.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/WireFormat.java
@@ -14,6 +14,14 @@
  */
 public interface WireFormat {
 
+	/**
+	 * Returns the identifier of a caller's request, for the log. Also usable if the
+	 * request cannot be read.
+	 * @param headers headers of the request
+	 * @return the identifier; empty if there is none
+	 */
+	String requestId(HeaderMap headers);
+
 	/**
 	 * Reads the headers of a caller's request.
 	 * @param headers the headers
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -92,6 +92,9 @@
 	/** The gateway has less processor time than requests. */
 	GATEWAY_OVERLOADED(503, true),
 
+	/** An unexpected exception of the gateway kept it from sending the request. */
+	GATEWAY_FAILED(503, true),
+
 	/** The entry has no configuration yet. */
 	NO_CONFIGURATION(503, true),
 
