--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -301,10 +301,8 @@
 		}
 	}
 
-	/**
-	 * Runs a step of the call. Undertow does not tell the call when a step throws, so the
-	 * listener would wait for ever.
-	 */
+	// Undertow does not tell the call when a step throws, so the listener would wait for
+	// ever.
 	private void guard(Runnable step) {
 		try {
 			step.run();
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -178,10 +178,8 @@
 		exchange.dispatch(SameThreadExecutor.INSTANCE, () -> guard(exchange, () -> accept(exchange)));
 	}
 
-	/**
-	 * Runs a step of a request that has not been handed to the dispatcher. If it throws,
-	 * the request has not been sent to a server, and its caller is told so.
-	 */
+	// The request has not been handed to the dispatcher, so it has not been sent to a
+	// server if the step throws.
 	private void guard(HttpServerExchange exchange, Runnable step) {
 		try {
 			step.run();
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -132,10 +132,8 @@
 		});
 	}
 
-	/**
-	 * Runs a step of this request. An exception ends this request only, even if the step
-	 * runs within a step of another one.
-	 */
+	// An exception ends this request only, even if the step runs within a step of another
+	// one.
 	private void guard(Runnable step) {
 		try {
 			step.run();
