Give request bodies a part in the memory budget

Cause: each body was read whole, with the announced length reserved at the head and copied at the end. The size of one body was limited, the sum of all was not.

Change: RequestBodyReader reads a body into memory of the MemoryBudget: reserved at the head if the length is announced, taken as it arrives otherwise. Without memory the request is refused at once with 503 memory_exhausted and Retry-After (not run). The memory is given back when the exchange is complete. A body of known length is not copied. Refusing was chosen over waiting, because waiting callers would learn only at their deadline that another gateway might have served them; reserving at the head was chosen because many half-read bodies would be refused after they were sent in vain.

A chunked body is now held to the limit of the routing table, too: only Content-Length was checked (up to 64 MiB otherwise).

--- a/adapters/src/main/java/io/anvilusher/adapters/http/BodyBuffer.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/BodyBuffer.java
@@ -37,6 +37,15 @@
 		this.account = account;
 	}
 
+	/**
+	 * Reserves the memory of a body whose size is known. Nothing must have been added.
+	 * @param bytes size of the body, in bytes
+	 * @return whether it was reserved; if not, the buffer is still empty
+	 */
+	public boolean reserve(long bytes) {
+		return bytes <= Math.min(this.maxBytes, Integer.MAX_VALUE) && allocate((int) bytes);
+	}
+
 	/**
 	 * Adds a part, unless the body is then too large.
 	 * @param part the part; its content is copied
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -26,7 +27,9 @@
 import org.xnio.XnioWorker;
 
 import io.anvilusher.adapters.http.ActiveRequests;
+import io.anvilusher.adapters.http.BodyBuffer;
 import io.anvilusher.adapters.http.CallerServers;
+import io.anvilusher.adapters.http.RequestBodyReader;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.request.CallerResponse;
@@ -81,6 +84,12 @@
 	/** Retry-After delay while draining: the time to open a new connection. */
 	private static final long DRAINING_RETRY_AFTER_MS = 20;
 
+	/**
+	 * Shortest Retry-After delay for a request whose body gets no memory: a large part of
+	 * the time that a caller takes to send a body of some MB.
+	 */
+	private static final long NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
 	private static final long DRAIN_CHECK_INTERVAL_MS = 10;
 
 	/** Longest wait for the last responses at the end of a drain. */
@@ -199,13 +208,20 @@
 			return;
 		}
 		String service = RouteIndex.selectService(route.get(), this.random.nextDouble());
-		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs);
-		exchange.getRequestReceiver()
-			.receiveFullBytes((read,
-					body) -> read.dispatch(SameThreadExecutor.INSTANCE, () -> unread.onBody(new RequestInput(read, head,
-							body, route.get(), service, workspace, table.version(), arrivedAtMs))),
-					(failed, ex) -> unread.onFailed(ex));
-		unread.awaitBody();
+		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs, (body) -> new RequestInput(exchange, head,
+				body, route.get(), service, workspace, table.version(), arrivedAtMs));
+		RequestBodyReader reader = new RequestBodyReader(exchange, this.dispatcher.client(),
+				table.limits().maxBodyBytes(), unread);
+		if (!reader.reserve()) {
+			refuse(exchange, head, RefusalReason.MEMORY_EXHAUSTED, OptionalLong.of(noMemoryRetryAfterMs()));
+			return;
+		}
+		reader.start();
+		unread.awaitBody(reader);
+	}
+
+	private long noMemoryRetryAfterMs() {
+		return (long) (NO_MEMORY_RETRY_AFTER_MS * (1 + this.random.nextDouble()));
 	}
 
 	private boolean acceptsWhileDraining(long timeoutAtMs) {
@@ -272,7 +288,7 @@
 	/**
 	 * A request whose body has not arrived completely. Used on the traffic thread only.
 	 */
-	private final class UnreadRequest {
+	private final class UnreadRequest implements RequestBodyReader.Listener {
 
 		private final HttpServerExchange exchange;
 
@@ -280,22 +296,30 @@
 
 		private final long timeoutAtMs;
 
+		private final Function<byte[], RequestInput> input;
+
 		private boolean ended;
 
+		private Runnable cancelReading = () -> {
+		};
+
 		private Runnable cancelTimeout = () -> {
 		};
 
-		UnreadRequest(HttpServerExchange exchange, RequestHead head, long timeoutAtMs) {
+		UnreadRequest(HttpServerExchange exchange, RequestHead head, long timeoutAtMs,
+				Function<byte[], RequestInput> input) {
 			this.exchange = exchange;
 			this.head = head;
 			this.timeoutAtMs = timeoutAtMs;
+			this.input = input;
 		}
 
 		// The body of most requests has arrived together with their head.
-		void awaitBody() {
+		void awaitBody(RequestBodyReader reader) {
 			if (this.ended) {
 				return;
 			}
+			this.cancelReading = reader::cancel;
 			GatewayHttpServer server = GatewayHttpServer.this;
 			server.unreadRequests.add(this);
 			this.cancelTimeout = server.thread.executeAfter(
@@ -311,7 +335,8 @@
 			return first;
 		}
 
-		void onBody(RequestInput input) {
+		@Override
+		public void onBody(byte[] body) {
 			if (!end()) {
 				return;
 			}
@@ -321,10 +346,21 @@
 						OptionalLong.of(DRAINING_RETRY_AFTER_MS));
 				return;
 			}
-			GatewayHttpServer.this.dispatcher.start(input);
+			GatewayHttpServer.this.dispatcher.start(this.input.apply(body));
+		}
+
+		@Override
+		public void onRejected(BodyBuffer.Result reason) {
+			if (reason == BodyBuffer.Result.TOO_LARGE) {
+				refuseUnread(RefusalReason.BODY_TOO_LARGE, OptionalLong.empty());
+			}
+			else {
+				refuseUnread(RefusalReason.MEMORY_EXHAUSTED, OptionalLong.of(noMemoryRetryAfterMs()));
+			}
 		}
 
-		void onFailed(IOException cause) {
+		@Override
+		public void onFailed(IOException cause) {
 			if (!end()) {
 				return;
 			}
@@ -340,6 +376,7 @@
 			if (!end()) {
 				return;
 			}
+			this.cancelReading.run();
 			this.exchange.setPersistent(false);
 			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 			refuse(this.exchange, this.head, reason, retryAfterMs);
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -334,7 +334,11 @@
 		return this.format;
 	}
 
-	StreamingHttpClient client() {
+	/**
+	 * Returns the client that makes the calls to servers.
+	 * @return the client, whose memory budget all messages share
+	 */
+	public StreamingHttpClient client() {
 		return this.client;
 	}
 
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -92,6 +92,9 @@
 	/** The gateway has less processor time than requests. */
 	GATEWAY_OVERLOADED(503, true),
 
+	/** The gateway has no memory left for the body of the request. */
+	MEMORY_EXHAUSTED(503, true),
+
 	/** The entry has no configuration yet. */
 	NO_CONFIGURATION(503, true),
 
