Write bodies in slices, so that direct memory is not needed for whole ones

Callers saw: with little direct memory left, a request whose body is larger gets no answer until its deadline, and a response whose body is larger ends with its connection closed. The log had lines of XNIO and Undertow on the traffic thread only.

Cause: request bodies and responses are on the heap, and the JDK copies all that is passed to a socket at once to a direct buffer of the same size, which it keeps for the thread. Without room for it, write throws an OutOfMemoryError "Cannot reserve 4194304 bytes of direct buffer memory", which -XX:+ExitOnOutOfMemoryError does not turn into an end of the process.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -129,7 +129,7 @@
 	private void writeBody(StreamSinkChannel sink, ByteBuffer body) {
 		try {
 			while (body.hasRemaining()) {
-				if (sink.write(body) == 0) {
+				if (SlicedWrite.write(sink, body) == 0) {
 					sink.resumeWrites();
 					return;
 				}
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
@@ -147,7 +147,7 @@
 		while (!this.queuedParts.isEmpty()) {
 			Part part = this.queuedParts.getFirst();
 			while (part.data().hasRemaining()) {
-				if (responseChannel.write(part.data()) == 0) {
+				if (SlicedWrite.write(responseChannel, part.data()) == 0) {
 					return false;
 				}
 			}
