--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -26,7 +27,9 @@
 import org.xnio.XnioWorker;
 
 import io.anvilusher.adapters.http.ActiveRequests;
+import io.anvilusher.adapters.http.BodyBuffer;
 import io.anvilusher.adapters.http.CallerServers;
+import io.anvilusher.adapters.http.RequestBodyReader;
 import io.anvilusher.adapters.http.ServerStart;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
@@ -87,6 +90,12 @@
 	 */
 	private static final long FAILED_RETRY_AFTER_MS = 20;
 
+	/**
+	 * Shortest Retry-After delay for a request whose body gets no memory: a large part of
+	 * the time that a caller takes to send a body of some MB.
+	 */
+	private static final long NO_MEMORY_RETRY_AFTER_MS = 1_000;
+
 	private static final long DRAIN_CHECK_INTERVAL_MS = 10;
 
 	/** Longest wait for the last responses at the end of a drain. */
@@ -233,18 +242,24 @@
 			return;
 		}
 		String service = RouteIndex.selectService(route.get(), this.random.nextDouble());
-		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs);
+		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs, (body) -> new RequestInput(exchange, head,
+				body, route.get(), service, workspace, table.version(), arrivedAtMs));
 		unread.guard(() -> {
-			exchange.getRequestReceiver()
-				.receiveFullBytes(
-						(read, body) -> read.dispatch(SameThreadExecutor.INSTANCE,
-								() -> unread.guard(() -> unread.onBody(new RequestInput(read, head, body, route.get(),
-										service, workspace, table.version(), arrivedAtMs)))),
-						(failed, ex) -> unread.onFailed(ex));
-			unread.awaitBody();
+			RequestBodyReader reader = new RequestBodyReader(exchange, this.dispatcher.client(),
+					table.limits().maxBodyBytes(), unread);
+			if (!reader.reserve()) {
+				refuse(exchange, head, RefusalReason.MEMORY_EXHAUSTED, OptionalLong.of(noMemoryRetryAfterMs()));
+				return;
+			}
+			reader.start();
+			unread.awaitBody(reader);
 		});
 	}
 
+	private long noMemoryRetryAfterMs() {
+		return (long) (NO_MEMORY_RETRY_AFTER_MS * (1 + this.random.nextDouble()));
+	}
+
 	private boolean acceptsWhileDraining(long timeoutAtMs) {
 		DrainAdmission admission = this.drainAdmission;
 		return admission == null
@@ -309,7 +324,7 @@
 	/**
 	 * A request whose body has not arrived completely. Used on the traffic thread only.
 	 */
-	private final class UnreadRequest {
+	private final class UnreadRequest implements RequestBodyReader.Listener {
 
 		private final HttpServerExchange exchange;
 
@@ -317,22 +332,30 @@
 
 		private final long timeoutAtMs;
 
+		private final Function<byte[], RequestInput> input;
+
 		private boolean ended;
 
+		private Runnable cancelReading = () -> {
+		};
+
 		private Runnable cancelTimeout = () -> {
 		};
 
-		UnreadRequest(HttpServerExchange exchange, RequestHead head, long timeoutAtMs) {
+		UnreadRequest(HttpServerExchange exchange, RequestHead head, long timeoutAtMs,
+				Function<byte[], RequestInput> input) {
 			this.exchange = exchange;
 			this.head = head;
 			this.timeoutAtMs = timeoutAtMs;
+			this.input = input;
 		}
 
 		// The body of most requests has arrived together with their head.
-		void awaitBody() {
+		void awaitBody(RequestBodyReader reader) {
 			if (this.ended) {
 				return;
 			}
+			this.cancelReading = reader::cancel;
 			GatewayHttpServer server = GatewayHttpServer.this;
 			server.unreadRequests.add(this);
 			this.cancelTimeout = server.thread.executeAfter(
@@ -348,6 +371,7 @@
 				}
 				catch (RuntimeException | Error ex) {
 					end();
+					this.cancelReading.run();
 					throw ex;
 				}
 			});
@@ -361,7 +385,12 @@
 			return first;
 		}
 
-		void onBody(RequestInput input) {
+		@Override
+		public void onBody(byte[] body) {
+			guard(() -> start(body));
+		}
+
+		private void start(byte[] body) {
 			if (!end()) {
 				return;
 			}
@@ -371,16 +400,30 @@
 						OptionalLong.of(DRAINING_RETRY_AFTER_MS));
 				return;
 			}
-			GatewayHttpServer.this.dispatcher.start(input);
+			GatewayHttpServer.this.dispatcher.start(this.input.apply(body));
+		}
+
+		@Override
+		public void onRejected(BodyBuffer.Result reason) {
+			guard(() -> {
+				if (reason == BodyBuffer.Result.TOO_LARGE) {
+					refuseUnread(RefusalReason.BODY_TOO_LARGE, OptionalLong.empty());
+				}
+				else {
+					refuseUnread(RefusalReason.MEMORY_EXHAUSTED, OptionalLong.of(noMemoryRetryAfterMs()));
+				}
+			});
 		}
 
-		void onFailed(IOException cause) {
+		@Override
+		public void onFailed(IOException cause) {
 			if (!end()) {
 				return;
 			}
 			LOGGER.atInfo()
 				.addKeyValue("request_id", this.head.attemptId())
 				.addKeyValue("cause", cause.getMessage())
+				.setCause(cause.getCause())
 				.log("Reading the request body failed; the connection is closed");
 			IoUtils.safeClose(this.exchange.getConnection());
 		}
@@ -390,6 +433,7 @@
 			if (!end()) {
 				return;
 			}
+			this.cancelReading.run();
 			this.exchange.setPersistent(false);
 			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 			refuse(this.exchange, this.head, reason, retryAfterMs);
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -95,6 +95,9 @@
 	/** An unexpected exception of the gateway kept it from sending the request. */
 	GATEWAY_FAILED(503, true),
 
+	/** The gateway has no memory left for the body of the request. */
+	MEMORY_EXHAUSTED(503, true),
+
 	/** The entry has no configuration yet. */
 	NO_CONFIGURATION(503, true),
 
