Publish the direct memory in use, and warn before it is used up

Nothing showed how much direct memory the process uses: when it is used up, allocations fail on the traffic thread, in listeners of Undertow and of our own, and the process goes on.

Change: gauges of the direct memory in use and of its limit, and a line at three quarters of it that says what happens next, at most one in 10 s.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -42,6 +42,7 @@
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
+import io.anvilusher.gateway.request.DirectMemoryMonitor;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
 import io.anvilusher.gateway.suspect.SuspectGuard;
@@ -218,6 +219,7 @@
 		gateway.roleController.start();
 		gateway.suspects.start();
 		gateway.dutyMembership.start();
+		new DirectMemoryMonitor(gateway.context).start();
 		LOGGER.info("Gateway {} of data centre {} started; callers at {}", settings.process(), settings.dataCentre(),
 				settings.callerAddress());
 		return gateway;
