Read each byte of a stream's unfinished event once

Callers saw: while a server sends an event without its end in small parts, all other requests of the gateway wait, since one thread handles them all.

Cause: EventSplitter read all that is buffered of an unfinished event again with each part that arrived, and copied it onto itself. One event of 1 MiB in parts of 64 bytes took 17.2 s of processor time on this machine.

Change: the splitter keeps its position in the buffer and moves the rest only when events were removed.

Evidence: EventSplitterTests.unfinishedEventInSmallPartsTakesLittleTime failed before (17,233 ms of processor time, bound 500 ms) and passes. eventsInPartsOfAnySizeAreTheSame passed before and passes: the outcome does not depend on the size of the parts.

--- a/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
+++ b/logic/src/main/java/io/anvilusher/logic/request/EventSplitter.java
@@ -25,6 +25,10 @@
 
 	private int bufferedBytes;
 
+	private int scannedBytes;
+
+	private int lineStart;
+
 	private OptionalLong lastId = OptionalLong.empty();
 
 	private OptionalLong pendingId = OptionalLong.empty();
@@ -70,16 +74,16 @@
 
 	private byte[] takeCompleteEvents() {
 		int eventStart = 0;
-		int lineStart = 0;
-		this.hasFields = false;
-		for (int index = 0; index < this.bufferedBytes && !this.outOfOrder; index++) {
+		while (this.scannedBytes < this.bufferedBytes && !this.outOfOrder) {
+			int index = this.scannedBytes;
+			this.scannedBytes++;
 			if (this.buffer[index] != '\n') {
 				continue;
 			}
-			int lineEnd = (index > lineStart && this.buffer[index - 1] == '\r') ? index - 1 : index;
-			if (lineEnd != lineStart) {
-				this.hasFields |= this.buffer[lineStart] != ':';
-				readId(lineStart, lineEnd);
+			int lineEnd = (index > this.lineStart && this.buffer[index - 1] == '\r') ? index - 1 : index;
+			if (lineEnd != this.lineStart) {
+				this.hasFields |= this.buffer[this.lineStart] != ':';
+				readId(this.lineStart, lineEnd);
 			}
 			else if (continuesStream()) {
 				this.eventCount++;
@@ -92,15 +96,23 @@
 			else {
 				this.outOfOrder = true;
 			}
-			lineStart = index + 1;
+			this.lineStart = index + 1;
 		}
 		byte[] complete = Arrays.copyOf(this.buffer, eventStart);
-		System.arraycopy(this.buffer, eventStart, this.buffer, 0, this.bufferedBytes - eventStart);
-		this.bufferedBytes -= eventStart;
-		shrinkBuffer();
+		if (eventStart > 0) {
+			removeFirst(eventStart);
+		}
 		return complete;
 	}
 
+	private void removeFirst(int bytes) {
+		System.arraycopy(this.buffer, bytes, this.buffer, 0, this.bufferedBytes - bytes);
+		this.bufferedBytes -= bytes;
+		this.scannedBytes -= bytes;
+		this.lineStart -= bytes;
+		shrinkBuffer();
+	}
+
 	private void shrinkBuffer() {
 		if (this.buffer.length > MAX_IDLE_BUFFER_BYTES && this.bufferedBytes <= INITIAL_BUFFER_BYTES) {
 			this.buffer = Arrays.copyOf(this.buffer, INITIAL_BUFFER_BYTES);
@@ -162,6 +174,9 @@
 		this.idRequired = this.lastId.isPresent();
 		this.outOfOrder = false;
 		this.bufferedBytes = 0;
+		this.scannedBytes = 0;
+		this.lineStart = 0;
+		this.hasFields = false;
 		this.pendingId = OptionalLong.empty();
 		shrinkBuffer();
 	}
--- a/logic/src/test/java/io/anvilusher/logic/request/EventSplitterTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/request/EventSplitterTests.java
@@ -1,7 +1,10 @@
 package io.anvilusher.logic.request;
 
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -94,4 +97,38 @@
 		assertEquals(eventSplitter.events(), 2);
 	}
 
+	/** Guards against an unfinished event that is read again with each part of it. */
+	@Test
+	public void unfinishedEventInSmallPartsTakesLittleTime() {
+		EventSplitter splitter = new EventSplitter();
+		byte[] part = "x".repeat(64).getBytes(StandardCharsets.US_ASCII);
+		ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+		long startNs = threads.getCurrentThreadCpuTime();
+		for (int addedBytes = 0; addedBytes < 1024 * 1024; addedBytes += part.length) {
+			assertEquals(splitter.add(ByteBuffer.wrap(part)).length, 0);
+		}
+		long elapsedMs = (threads.getCurrentThreadCpuTime() - startNs) / 1_000_000;
+		assertTrue(elapsedMs < 500, elapsedMs + " ms of processor time");
+	}
+
+	@Test
+	public void eventsInPartsOfAnySizeAreTheSame() {
+		String stream = ": note\n\nid: 1\r\ndata: a\r\n\r\nid: 2\ndata: bb\n\ndata: c\n\nid: 7\ndata: d";
+		for (int partBytes = 1; partBytes <= stream.length(); partBytes++) {
+			EventSplitter splitter = new EventSplitter();
+			StringBuilder events = new StringBuilder();
+			for (int start = 0; start < stream.length(); start += partBytes) {
+				String part = stream.substring(start, Math.min(stream.length(), start + partBytes));
+				events.append(new String(splitter.add(ByteBuffer.wrap(part.getBytes(StandardCharsets.US_ASCII))),
+						StandardCharsets.US_ASCII));
+			}
+			assertEquals(events.toString(), stream.substring(0, stream.indexOf("id: 7")));
+			assertEquals(splitter.events(), 4);
+			assertEquals(splitter.lastId(), OptionalLong.of(2));
+			splitter.dropPartialEvent();
+			byte[] next = "id: 3\ndata: e\n\n".getBytes(StandardCharsets.US_ASCII);
+			assertEquals(splitter.add(ByteBuffer.wrap(next)), next);
+		}
+	}
+
 }
