Keep the usage windows nearest to the present one

What the platform saw: no usage at all, for as long as the records of a faulty writer (or of a process whose clock was far ahead) were in the usage log.

Cause: the fold keeps the 64 windows with the highest numbers. Records of 64 windows of the future drop those that are to be reported, also their seals.

Change: the fold drops the window farthest from the present one.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageReporter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageReporter.java
@@ -71,7 +71,7 @@
 
 	private final LongSupplier timeOfDayMs;
 
-	private final UsageFold fold = new UsageFold();
+	private final UsageFold fold;
 
 	private final Set<Long> flushing = new HashSet<>();
 
@@ -107,6 +107,7 @@
 		this.thread = thread;
 		this.clock = clock;
 		this.timeOfDayMs = timeOfDayMs;
+		this.fold = new UsageFold(() -> timeOfDayMs.getAsLong() / settings.windowMs());
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/usage/UsageFold.java
+++ b/logic/src/main/java/io/anvilusher/logic/usage/UsageFold.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 /**
  * Usage counts by window, folded from the records of a log. A record holds either the
@@ -14,8 +15,8 @@
 public final class UsageFold {
 
 	/**
-	 * Number of newest windows kept. Several times the number of windows that can still
-	 * be reported.
+	 * Number of windows kept: those nearest to the present one, since a record may name
+	 * any window. Several times the number of windows that can still be reported.
 	 */
 	private static final int MAX_WINDOWS = 64;
 
@@ -23,6 +24,16 @@
 
 	private final TreeMap<Long, Map<String, Long>> sealedByWindow = new TreeMap<>();
 
+	private final LongSupplier presentWindow;
+
+	/**
+	 * Creates an empty fold.
+	 * @param presentWindow returns the number of the present window
+	 */
+	public UsageFold(LongSupplier presentWindow) {
+		this.presentWindow = presentWindow;
+	}
+
 	/**
 	 * Applies a record with the counts of one process. The counts replace the earlier
 	 * counts of the process for the window, so a record that was appended twice is
@@ -48,9 +59,16 @@
 		return first;
 	}
 
-	private static void trim(TreeMap<Long, ?> windows) {
+	private void trim(TreeMap<Long, ?> windows) {
+		// As floating-point numbers, so that the distance of no window overflows.
+		double present = this.presentWindow.getAsLong();
 		while (windows.size() > MAX_WINDOWS) {
-			windows.pollFirstEntry();
+			if (present - windows.firstKey() >= windows.lastKey() - present) {
+				windows.pollFirstEntry();
+			}
+			else {
+				windows.pollLastEntry();
+			}
 		}
 	}
 
--- a/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
@@ -12,7 +12,7 @@
 
 	@Test
 	public void recordAppendedTwiceIsCountedOnce() {
-		UsageFold fold = new UsageFold();
+		UsageFold fold = new UsageFold(() -> 7);
 		fold.onCounts("a", 7, Map.of("w", 3L));
 		fold.onCounts("b", 7, Map.of("w", 2L, "v", 1L));
 		fold.onCounts("a", 7, Map.of("w", 3L));
@@ -21,12 +21,27 @@
 
 	@Test
 	public void firstSealOfAWindowIsKept() {
-		UsageFold fold = new UsageFold();
+		UsageFold fold = new UsageFold(() -> 7);
 		assertTrue(fold.onSeal(7, Map.of("w", 5L)));
 		assertFalse(fold.onSeal(7, Map.of("w", 6L)));
 		assertEquals(fold.sealed(7).orElseThrow(), Map.of("w", 5L));
 	}
 
+	/** Guards against windows of a faulty writer that replace those to report. */
+	@Test
+	public void keepsTheWindowsNearestToThePresentOne() {
+		UsageFold fold = new UsageFold(() -> 1_000);
+		fold.onCounts("a", 999, Map.of("w", 3L));
+		fold.onSeal(998, Map.of("w", 2L));
+		for (long index = 0; index < 200; index++) {
+			fold.onCounts("b", Long.MAX_VALUE - index, Map.of("w", 1L));
+			fold.onSeal(Long.MIN_VALUE + index, Map.of("w", 1L));
+			fold.onSeal(2_000 + index, Map.of("w", 1L));
+		}
+		assertEquals(fold.total(999), Map.of("w", 3L));
+		assertEquals(fold.sealed(998).orElseThrow(), Map.of("w", 2L));
+	}
+
 	@Test
 	public void keepsTheTimeDuringAJumpOfTheWallClock() {
 		WallClockEstimator wallClock = new WallClockEstimator(1_000_000, 0);
@@ -46,7 +61,7 @@
 
 	@Test
 	public void windowIsCompleteWithTheCountsOfAllProcessesOfThePreviousWindow() {
-		UsageFold fold = new UsageFold();
+		UsageFold fold = new UsageFold(() -> 7);
 		fold.onCounts("a", 1, Map.of("w", 1L));
 		fold.onCounts("b", 1, Map.of("w", 1L));
 		fold.onCounts("a", 2, Map.of("w", 1L));
