Skip records of the usage log that are neither counts nor seals

What the platform would see: a window reported with other figures than were counted, after a record of a faulty writer.

Cause: a record without a process, such as an empty object, was taken as a seal, which fixes the figures of its window; negative counts and numbers that do not fit were added up.

Evidence: UsageRecordTests, 11 odd records; all 11 were accepted on the old code.

Change: a record needs its three fields with their types and counts of at least zero; others are skipped with a log line.

Measured: UsageRecordTests (12) pass.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageRecord.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageRecord.java
@@ -46,9 +46,24 @@
 		}
 	}
 
+	private static boolean isNumber(JsonNode node) {
+		return node.isIntegralNumber() && node.canConvertToLong();
+	}
+
+	private static boolean areCounts(JsonNode counts) {
+		return counts.properties()
+			.stream()
+			.allMatch((entry) -> isNumber(entry.getValue()) && entry.getValue().longValue() >= 0);
+	}
+
 	static Optional<UsageRecord> decode(byte[] content) {
 		try {
 			JsonNode root = MAPPER.readTree(content);
+			if (!root.path("process").isTextual() || !isNumber(root.path("window")) || !root.path("counts").isObject()
+					|| !areCounts(root.path("counts"))) {
+				LOGGER.warn("Record of the usage log is not usable and is skipped: {} bytes", content.length);
+				return Optional.empty();
+			}
 			Map<String, Long> counts = new HashMap<>();
 			root.path("counts")
 				.fields()
