Go on with the duties after a call that failed unexpectedly

What operators would see: a process that neither renews its membership nor reads the usage log any more, without a log line.

Cause: both continue only when the call of the store completes normally, as their interfaces promise; nothing handled one that does not.

Evidence: DutyMembershipTests#renewsAgainAfterARenewalThatFailed failed on the old code. No input is known that makes the store's client break the promise. The reader of the usage log has the same change without a test of its own.

Change: such a failure is logged and counts as no response, as in the follower of tables.

Measured: DutyMembershipTests (6) pass.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/DutyMembership.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/DutyMembership.java
@@ -85,7 +85,10 @@
 			return;
 		}
 		long sentAtMs = this.clock.nowMs();
-		this.group.join(this.member, this.generation, this.leaseMs).thenAccept((current) -> this.thread.run(() -> {
+		this.group.join(this.member, this.generation, this.leaseMs).exceptionally((failure) -> {
+			LOGGER.error("Duties: a renewal failed unexpectedly; the membership is unknown", failure);
+			return new DutyGroup.Membership(false, 0, false);
+		}).thenAccept((current) -> this.thread.run(() -> {
 			if (current.responded()) {
 				onMembership(current, sentAtMs);
 			}
--- a/gateway/src/main/java/io/anvilusher/gateway/control/UsageReporter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/UsageReporter.java
@@ -131,7 +131,10 @@
 			this.reading = false;
 			return;
 		}
-		this.log.read(this.readOffset, READ_WAIT_MS).thenAccept((result) -> this.thread.run(() -> {
+		this.log.read(this.readOffset, READ_WAIT_MS).exceptionally((failure) -> {
+			LOGGER.error("A read of the usage log failed unexpectedly", failure);
+			return new StoreLog.ReadResult.Unavailable(failure.toString());
+		}).thenAccept((result) -> this.thread.run(() -> {
 			if (result instanceof StoreLog.ReadResult.Records records) {
 				records.contents().forEach((content) -> UsageRecord.decode(content).ifPresent(this::apply));
 				this.readOffset = records.nextOffset();
--- a/gateway/src/test/java/io/anvilusher/gateway/control/DutyMembershipTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/control/DutyMembershipTests.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
@@ -25,6 +26,8 @@
 
 	private final AtomicReference<DutyGroup.Membership> membershipAtStore = new AtomicReference<>();
 
+	private final AtomicInteger failedRenewals = new AtomicInteger();
+
 	private ControlThread thread;
 
 	private DutyMembership membership;
@@ -37,7 +40,12 @@
 
 			@Override
 			public CompletableFuture<Membership> join(String member, long generation, long ttlMs) {
-				return CompletableFuture.completedFuture(DutyMembershipTests.this.membershipAtStore.get());
+				DutyGroup.Membership current = DutyMembershipTests.this.membershipAtStore.get();
+				if (current == null) {
+					DutyMembershipTests.this.failedRenewals.incrementAndGet();
+					return CompletableFuture.failedFuture(new IllegalStateException("not readable"));
+				}
+				return CompletableFuture.completedFuture(current);
 			}
 
 			@Override
@@ -75,6 +83,17 @@
 		}
 	}
 
+	/** Guards against a failed renewal after which the process never renews again. */
+	@Test
+	public void renewsAgainAfterARenewalThatFailed() {
+		this.membershipAtStore.set(null);
+		await(() -> this.failedRenewals.get() > 0);
+		this.nowMs.addAndGet(2 * LEASE_MS);
+		await(() -> !mayAct());
+		this.membershipAtStore.set(new DutyGroup.Membership(true, 2, true));
+		await(this::mayAct);
+	}
+
 	@Test
 	public void aHolderMayActRepeatedly() {
 		assertEquals(this.membership.beginAction(), 1);
