Take no interim response for the response

What callers see: the interim response of a server (101, 102, 103, 199) was passed on as the whole response, status and all, and the response that followed it was lost. With Not-Executed in it, the request was also sent once more.

Cause: Undertow's client skips 100 only; others reach the attempt like a final head.

Evidence: interimResponseIsNoReasonToSendAgain failed before; the caller got "HTTP/1.1 103" and the like as its response.

Change: an interim head is a broken response. The connection is closed and the request fails as one that may have run, so only what may be repeated is sent again.

Measured: the test passes, as do RepeatedRefusalTests, TruncatedResponseTests, ResumedStreamTests, GatewayPathTests and ServerPauseTests.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -218,7 +218,7 @@
 			this.dispatcher.announcements()
 				.onHead(this.trackedServer, response, this.request.input().head().attemptId());
 		}
-		if (!matchesRequest || response.encoded()) {
+		if (!matchesRequest || response.encoded() || response.isInterim()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
 			return;
 		}
