Use the newest list of servers however busy the traffic thread is

Cause: between the store and a placement, the list of servers waited for the event loop of the traffic thread up to three times: for the read to be sent, for its response to be read, and for the new list to be applied. Reads that waited too long also timed out, and the old list stayed in use for the next read as well.

The control thread publishes the list, and the registry applies the newest one before each use. The log says how old a list was when it was applied.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -74,6 +74,10 @@
 	 * @return the client
 	 */
 	public static StreamingHttpClient create(String name, int ioThreads) {
+		return create(name, ioThreads, MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+	}
+
+	private static StreamingHttpClient create(String name, int ioThreads, MemoryBudget memory) {
 		try {
 			return new StreamingHttpClient(Xnio.getInstance()
 				.createWorker(OptionMap.builder()
@@ -83,7 +87,7 @@
 					.set(Options.WORKER_TASK_MAX_THREADS, 1)
 					.set(Options.TCP_NODELAY, true)
 					.set(Options.THREAD_DAEMON, true)
-					.getMap()), MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+					.getMap()), memory);
 		}
 		catch (IOException ex) {
 			throw new IllegalStateException("Cannot start the I/O threads of the HTTP client", ex);
@@ -101,6 +105,16 @@
 		return new StreamingHttpClient(worker, memory);
 	}
 
+	/**
+	 * Creates a client with an I/O thread of its own that shares the memory budget of
+	 * this one. Its calls do not wait for this client's I/O threads.
+	 * @param name name of the I/O thread
+	 * @return the client
+	 */
+	public StreamingHttpClient onOwnThread(String name) {
+		return create(name, 1, this.memory);
+	}
+
 	/**
 	 * Loads the providers of Undertow's client from their jar files. A process calls this
 	 * before it starts its threads, so that jar files are not read during the first call
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -332,10 +332,9 @@
 		Map<String, RegisteredServer> inUse = this.lapseGuard.inUse(this.registeredServers, this.clock.nowMs());
 		List<RegisteredServer> servers = List.copyOf(inUse.values());
 		this.serversInUse = servers;
-		this.worker.getIoThread().execute(() -> {
-			this.serverRegistry.apply(servers);
-			this.serversKnown = true;
-		});
+		this.serverRegistry.publish(servers);
+		this.serversKnown = true;
+		this.worker.getIoThread().execute(this.serverRegistry::applyPublished);
 	}
 
 	private final class ServerListener implements TableFollower.Listener<RegisteredServer> {
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -18,7 +18,7 @@
 
 /**
  * The registered servers and those that take new requests, by service. Used from the
- * traffic thread only.
+ * traffic thread only, except for {@link #publish}.
  */
 public final class ServerRegistry {
 
@@ -32,6 +32,10 @@
 
 	private final MonotonicClock clock;
 
+	private volatile Publication published;
+
+	private Publication applied;
+
 	private Map<String, TrackedServer> trackedById = Map.of();
 
 	private Map<String, List<TrackedServer>> registeredAsReady = Map.of();
@@ -51,15 +55,34 @@
 	 */
 	public ServerRegistry(MonotonicClock clock) {
 		this.clock = clock;
+		this.published = new Publication(List.of(), clock.nowMs());
+		this.applied = this.published;
 	}
 
 	/**
-	 * Replaces the list of servers. The tracked state (load, health) of a server is kept
-	 * as long as its registration shows the same server start and address. What a server
-	 * announced also outlives the loss of its registration.
+	 * Replaces the list of servers. May be called from any thread. All later calls of
+	 * other methods use the new list, however busy the traffic thread is.
 	 * @param servers all servers in use, including draining ones
 	 */
-	public void apply(List<RegisteredServer> servers) {
+	public void publish(List<RegisteredServer> servers) {
+		this.published = new Publication(servers, this.clock.nowMs());
+	}
+
+	/**
+	 * Applies the newest list of servers, if that has not happened yet. The tracked state
+	 * (load, health) of a server is kept as long as its registration shows the same
+	 * server start and address. What a server announced also outlives the loss of its
+	 * registration.
+	 */
+	public void applyPublished() {
+		Publication newest = this.published;
+		if (newest != this.applied) {
+			this.applied = newest;
+			apply(newest.servers());
+		}
+	}
+
+	private void apply(List<RegisteredServer> servers) {
 		Map<String, TrackedServer> next = new HashMap<>();
 		servers.forEach((server) -> next.put(server.id(), trackedServer(server)));
 		this.trackedById.forEach((id, tracked) -> {
@@ -85,8 +108,10 @@
 			return goneServer(server).orElseGet(() -> new TrackedServer(server));
 		}
 		if (existing.server().draining() != server.draining() || !existing.server().role().equals(server.role())) {
-			LOGGER.info("Server {} of service {} changed: draining={}, role={}", server.id(), server.service(),
-					server.draining(), server.role());
+			LOGGER.atInfo()
+				.addKeyValue("age_ms", this.clock.nowMs() - this.applied.publishedAtMs())
+				.log("Server {} of service {} changed: draining={}, role={}", server.id(), server.service(),
+						server.draining(), server.role());
 		}
 		existing.update(server);
 		return existing;
@@ -108,7 +133,7 @@
 	 */
 	public void onObserverDelay(long delayMs) {
 		long nowMs = this.clock.nowMs();
-		this.trackedById.values().forEach((tracked) -> tracked.onObserverDelay(delayMs, nowMs));
+		trackedById().values().forEach((tracked) -> tracked.onObserverDelay(delayMs, nowMs));
 	}
 
 	/**
@@ -147,7 +172,7 @@
 	 * @return the time in ms; 0 if no pause is in effect
 	 */
 	public long pauseLeftMs(String address) {
-		return this.trackedById.values()
+		return trackedById().values()
 			.stream()
 			.filter((tracked) -> tracked.server().address().equals(address))
 			.mapToLong((tracked) -> tracked.availability().pauseLeftMs(this.clock.nowMs()))
@@ -156,6 +181,7 @@
 	}
 
 	private List<TrackedServer> registeredAsReady(String service) {
+		applyPublished();
 		return this.registeredAsReady.getOrDefault(service, List.of());
 	}
 
@@ -176,8 +202,27 @@
 	 * @return the state, or empty if this incarnation of the server is gone
 	 */
 	public Optional<TrackedServer> tracked(RegisteredServer server) {
-		return Optional.ofNullable(this.trackedById.get(server.id()))
+		return Optional.ofNullable(trackedById().get(server.id()))
 			.filter((tracked) -> tracked.server().isSameIncarnation(server));
 	}
 
+	private Map<String, TrackedServer> trackedById() {
+		applyPublished();
+		return this.trackedById;
+	}
+
+	/**
+	 * A list of servers as handed over by another thread.
+	 *
+	 * @param servers all servers in use, including draining ones
+	 * @param publishedAtMs time of the monotonic clock at which it was handed over, in ms
+	 */
+	private record Publication(List<RegisteredServer> servers, long publishedAtMs) {
+
+		Publication {
+			servers = List.copyOf(servers);
+		}
+
+	}
+
 }
