Do not report a usage window after one that may lack a gateway's counts

Cause: a window was taken for complete with the counts of all processes of the previous window. A gateway that is cut off from the store in two windows has no counts in the previous one either, so it was not waited for.

Change: a window is complete only if the previous one is sealed or complete as well.

UsageFoldTests.windowIsNotCompleteAfterOneThatMayLackTheCountsOfAProcess failed before (expected [false] but found [true]).

--- a/logic/src/main/java/io/anvilusher/logic/usage/UsageFold.java
+++ b/logic/src/main/java/io/anvilusher/logic/usage/UsageFold.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -69,14 +70,23 @@
 
 	/**
 	 * Returns whether a window has counts from all processes that had counts in the
-	 * previous window. Other processes may still be missing.
+	 * previous window, and the previous window is sealed or complete itself. Otherwise, a
+	 * process may exist whose counts of both windows have not arrived. A process that
+	 * counts for the first time in this window may still be missing.
 	 * @param window number of the window
 	 * @return whether counts of all these processes have arrived
 	 */
 	public boolean isComplete(long window) {
-		return this.countsByWindow.getOrDefault(window, Map.of())
-			.keySet()
-			.containsAll(this.countsByWindow.getOrDefault(window - 1, Map.of()).keySet());
+		Set<String> expected = processes(window - 1);
+		return expected.isEmpty() || (processes(window).containsAll(expected) && isSettled(window - 1));
+	}
+
+	private boolean isSettled(long window) {
+		return this.sealedByWindow.containsKey(window) || isComplete(window);
+	}
+
+	private Set<String> processes(long window) {
+		return this.countsByWindow.getOrDefault(window, Map.of()).keySet();
 	}
 
 	/**
--- a/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
@@ -57,4 +57,18 @@
 		assertFalse(fold.isComplete(3));
 	}
 
+	// Windows were reported without the counts of a gateway that was cut off in two of
+	// them.
+	@Test
+	public void windowIsNotCompleteAfterOneThatMayLackTheCountsOfAProcess() {
+		UsageFold fold = new UsageFold();
+		fold.onCounts("a", 1, Map.of("w", 1L));
+		fold.onCounts("stopped", 1, Map.of("w", 1L));
+		fold.onCounts("a", 2, Map.of("w", 1L));
+		fold.onCounts("a", 3, Map.of("w", 1L));
+		assertFalse(fold.isComplete(3));
+		fold.onSeal(2, Map.of("w", 1L));
+		assertTrue(fold.isComplete(3));
+	}
+
 }
