--- a/gateway/src/main/java/io/anvilusher/gateway/request/DirectMemoryMonitor.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/DirectMemoryMonitor.java
@@ -5,21 +5,19 @@
 import org.slf4j.LoggerFactory;
 
 import io.anvilusher.adapters.metrics.DirectMemory;
-import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.gateway.control.TableFollower.ControlContext;
 
 /**
- * Publishes how much direct memory the process uses, and warns before it is used up. Used
- * from the control thread only, except for the gauges.
+ * Publishes how much direct memory the process uses, and warns before it is used up. The
+ * management interface of the JVM takes long to load, so it is not used right after the
+ * start, when the processor time is needed for requests.
  */
 public final class DirectMemoryMonitor {
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(DirectMemoryMonitor.class);
 
-	private static final long INTERVAL_MS = 1_000;
-
-	/** At most one log line is written in this time. */
-	private static final long LOG_INTERVAL_MS = 10_000;
+	/** Also the shortest time between two log lines. */
+	private static final long INTERVAL_MS = 10_000;
 
 	/** Share of the direct memory in use from which on a line is logged. */
 	private static final double LOGGED_SHARE = 0.75;
@@ -42,18 +40,22 @@
 	 * Starts to check the direct memory at a fixed interval.
 	 */
 	public void start() {
-		this.context.thread().every(INTERVAL_MS, this::check);
+		this.context.meters().gauge("anvilusher.memory.direct.bytes", this, (monitor) -> monitor.memory().usedBytes());
+		this.context.meters()
+			.gauge("anvilusher.memory.direct.max.bytes", this, (monitor) -> monitor.memory().maxBytes());
+		this.context.thread().every(INTERVAL_MS, () -> check(memory().usedBytes(), memory().maxBytes()));
 	}
 
-	private void check() {
-		DirectMemory current = (this.memory != null) ? this.memory : register();
-		check(current.usedBytes(), current.maxBytes());
+	private synchronized DirectMemory memory() {
+		DirectMemory loaded = (this.memory != null) ? this.memory : new DirectMemory();
+		this.memory = loaded;
+		return loaded;
 	}
 
 	void check(long usedBytes, long maxBytes) {
 		long nowMs = this.context.clock().nowMs();
 		if (usedBytes >= maxBytes * LOGGED_SHARE && nowMs >= this.nextLogAtMs) {
-			this.nextLogAtMs = nowMs + LOG_INTERVAL_MS;
+			this.nextLogAtMs = nowMs + INTERVAL_MS;
 			LOGGER.atWarn()
 				.addKeyValue("used_bytes", usedBytes)
 				.addKeyValue("max_bytes", maxBytes)
@@ -61,13 +63,4 @@
 		}
 	}
 
-	private DirectMemory register() {
-		DirectMemory created = new DirectMemory();
-		Meters meters = this.context.meters();
-		meters.gauge("anvilusher.memory.direct.bytes", created, DirectMemory::usedBytes);
-		meters.gauge("anvilusher.memory.direct.max.bytes", created, DirectMemory::maxBytes);
-		this.memory = created;
-		return created;
-	}
-
 }
--- a/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/usage/UsageFoldTests.java
@@ -76,7 +76,7 @@
 	// them.
 	@Test
 	public void windowIsNotCompleteAfterOneThatMayLackTheCountsOfAProcess() {
-		UsageFold fold = new UsageFold();
+		UsageFold fold = new UsageFold(() -> 3);
 		fold.onCounts("a", 1, Map.of("w", 1L));
 		fold.onCounts("stopped", 1, Map.of("w", 1L));
 		fold.onCounts("a", 2, Map.of("w", 1L));
