Match the port of a host once, not once for each colon

Callers: a Host header of many colons ("h.example:1:1:1...", up to the 64 KiB of a head) overflowed the stack of the traffic thread, whose size is 256 KiB in the deploy file; each call also copied the rest of the host.

Cause: RouteIndex.find called itself for each colon of a host without a route. Now only the part after the last colon is taken as the port, so a host with two ports has no route any more.

RouteIndexTests.hostWithManyColonsHasNoRoute, on a thread with a stack of 256 KiB, failed before (the thread ended without a result); it passes now.

--- a/logic/src/main/java/io/anvilusher/logic/routing/RouteIndex.java
+++ b/logic/src/main/java/io/anvilusher/logic/routing/RouteIndex.java
@@ -52,11 +52,7 @@
 	 * @return the route, or empty if none matches
 	 */
 	public Optional<Route> find(String host, String path) {
-		Map<String, Route> routes = this.routesByHost.get(host.toLowerCase(Locale.ROOT));
-		if (routes == null) {
-			int port = host.lastIndexOf(':');
-			return (port > 0) ? find(host.substring(0, port), path) : Optional.empty();
-		}
+		Map<String, Route> routes = routesOfHost(host.toLowerCase(Locale.ROOT));
 		for (int end = path.lastIndexOf('/'); end >= 0; end = path.lastIndexOf('/', end - 1)) {
 			Route route = routes.get(path.substring(0, end + 1));
 			if (route != null) {
@@ -66,6 +62,15 @@
 		return Optional.empty();
 	}
 
+	private Map<String, Route> routesOfHost(String host) {
+		Map<String, Route> routes = this.routesByHost.get(host);
+		int port = host.lastIndexOf(':');
+		if (routes != null || port < 0) {
+			return (routes != null) ? routes : Map.of();
+		}
+		return this.routesByHost.getOrDefault(host.substring(0, port), Map.of());
+	}
+
 	/**
 	 * Selects one of the services of a route in proportion to their weights.
 	 * @param route the route
--- a/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 import org.testng.annotations.Test;
 
@@ -16,6 +17,9 @@
 
 public class RouteIndexTests {
 
+	/** Stack of a gateway's threads. */
+	private static final long SMALL_STACK_BYTES = 256 * 1024;
+
 	private static Route route(String name, String host, String prefix) {
 		return new Route(name, host, prefix, RouteKind.IDEMPOTENT, 1_000, 100, 100, 0,
 				List.of(new WeightedService("a", 90), new WeightedService("b", 10)), 1, false, false, false);
@@ -47,6 +51,23 @@
 		assertEquals(find("unknown.example", "/a/"), Optional.empty());
 	}
 
+	/**
+	 * Guards against a Host header whose many colons overflowed the traffic thread's
+	 * stack.
+	 */
+	@Test
+	public void hostWithManyColonsHasNoRoute() throws InterruptedException {
+		List<Optional<String>> found = new CopyOnWriteArrayList<>();
+		Thread thread = new Thread(null, () -> {
+			found.add(find("h.example" + ":1".repeat(30_000), "/a/"));
+			found.add(find("[::1]:80", "/a/"));
+			found.add(find(":", "/a/"));
+		}, "small stack", SMALL_STACK_BYTES);
+		thread.start();
+		thread.join();
+		assertEquals(found, List.of(Optional.empty(), Optional.empty(), Optional.empty()));
+	}
+
 	@Test
 	public void splitsByWeight() {
 		Route route = this.index.find("h.example", "/a/").orElseThrow();
