--- a/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/TrackedServer.java
@@ -263,14 +263,14 @@
 	 * @return number of tokens, at least 1
 	 */
 	public int uncachedTokens(PromptShape prompt) {
-		int cached = 0;
+		long cached = 0;
 		for (PromptPart part : prompt.sharedParts()) {
 			if (!this.cachedParts.containsKey(part.id())) {
 				break;
 			}
 			cached += part.tokens();
 		}
-		return Math.max(1, prompt.promptTokens() - cached);
+		return (int) Math.max(1, prompt.promptTokens() - cached);
 	}
 
 	/**
--- a/model/src/main/java/io/anvilusher/model/request/PromptShape.java
+++ b/model/src/main/java/io/anvilusher/model/request/PromptShape.java
@@ -25,10 +25,10 @@
 
 	/**
 	 * Counts the tokens of the shared parts.
-	 * @return number of tokens
+	 * @return number of tokens; at most those of the prompt, whatever its parts claim
 	 */
 	public int sharedTokens() {
-		return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
+		return (int) Math.min(this.promptTokens, sharedParts().stream().mapToLong(PromptPart::tokens).sum());
 	}
 
 }
