Fail responses whose status is not that of a final response

Callers got a server's 101 (and then a closed connection), 102, 103 and 199 as if they were the response, and 600 and 999. On the traffic thread, a status below 100 ended in XNIO001007 with an AssertionError in Undertow's HttpResponseConduit (with assertions on), and a bare 101 in lines at level ERROR as well.

Cause: any status that Undertow's client reads was passed on. A status outside 200 to 599 now fails the call like bytes that are no HTTP: a request that may not run twice gets 502, others are sent again; the log names server and status.

OddResponseTests sends 317 odd responses (statuses, header fields, framing, bytes that are no HTTP, single bytes, responses to HEAD) and checks that callers are answered, that a request that may run once arrives once and gets no 503, that the next request is served, and that nothing is thrown unhandled. What Undertow's client itself reports as an error, a head that it cannot parse, is not counted as long as no code of this project is on the stack.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -40,6 +40,11 @@
 	 */
 	private static final double KEEP_ALIVE_REUSE_FRACTION = 0.8;
 
+	/** Smallest status of a final response; those below it are interim responses. */
+	private static final int MIN_STATUS = 200;
+
+	private static final int MAX_STATUS = 599;
+
 	private final StreamingHttpClient client;
 
 	private final HttpCall call;
@@ -172,6 +177,14 @@
 			this.connection.input().onHead();
 		}
 		ClientResponse response = exchange.getResponse();
+		int status = response.getResponseCode();
+		if (status < MIN_STATUS || status > MAX_STATUS) {
+			LOGGER.warn("Server at {} sent a response with status {}; the connection is closed", this.call.target(),
+					status);
+			fail(new IOException(
+					"Status " + status + " of the response is not from " + MIN_STATUS + " to " + MAX_STATUS));
+			return;
+		}
 		List<HttpHeader> headers = new ArrayList<>();
 		for (HeaderValues values : response.getResponseHeaders()) {
 			values.forEach((value) -> headers.add(new HttpHeader(values.getHeaderName().toString(), value)));
@@ -179,7 +192,7 @@
 		this.keepAliveMs = keepAliveMs(response.getResponseHeaders().getFirst("Keep-Alive"));
 		boolean framed = response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
 				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING) || isBodiless(response);
-		this.listener.onHead(response.getResponseCode(), headers, framed);
+		this.listener.onHead(status, headers, framed);
 		StreamSourceChannel source = exchange.getResponseChannel();
 		this.responseChannel = source;
 		source.getReadSetter().set(this::readBody);
