Send a response although part of the next request has arrived

Callers that send a request without Content-Length and part of the next one in one segment got no response until the next request was complete and its response was written: the response to a finished request was kept in the process.

Cause: Undertow's server buffers responses of pipelined requests unless told otherwise (BUFFER_PIPELINED_DATA). It is now off for all servers for callers, entry and sidecar included.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/CallerServers.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/CallerServers.java
@@ -32,6 +32,9 @@
 			.setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, limits.idleTimeoutMs())
 			.setServerOption(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
 			.setServerOption(UndertowOptions.ENABLE_HTTP2, false)
+			// Otherwise a response is held back as long as part of the next request has
+			// arrived.
+			.setServerOption(UndertowOptions.BUFFER_PIPELINED_DATA, false)
 			.setServerOption(UndertowOptions.DECODE_URL, false);
 	}
 
