Refuse CONNECT instead of sending it to a server

Callers: after a CONNECT request, the next request that used the same connection to the server, a request of another caller that may not be repeated, failed with 502.

Cause: a response to CONNECT turns the client's connection into a tunnel, but it went back to the pool. CONNECT names no path, so no route covers it: it is refused with 404 as route_unknown and reaches no server.

OddRequestTests.connectIsNotSentToAServer failed before.

--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -17,6 +17,7 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
@@ -178,7 +179,10 @@
 			return;
 		}
 		RoutingTable table = index.get().table();
-		Optional<Route> route = index.get().find(exchange.getHostAndPort(), exchange.getRequestURI());
+		// A CONNECT request names no resource. A server's response to it would turn its
+		// connection, which other requests share, into a tunnel.
+		Optional<Route> route = exchange.getRequestMethod().equals(Methods.CONNECT) ? Optional.empty()
+				: index.get().find(exchange.getHostAndPort(), exchange.getRequestURI());
 		if (route.isEmpty()) {
 			refuse(exchange, head, RefusalReason.ROUTE_UNKNOWN, OptionalLong.empty());
 			return;
