Write the log lines that say why a process ends

What operators saw: a gateway with invalid settings ended with exit code 3 and no line that says why. The same holds for a failed start, and for the line "A task on the control thread failed; halting the process" before exit code 70.

Cause: log lines are written by a thread of their own, and nothing waited for it before the process ended; only the graceful stop did.

The control thread's case has no test of its own.

--- a/adapters/src/main/java/io/anvilusher/adapters/control/ControlThread.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/ControlThread.java
@@ -7,6 +7,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.anvilusher.adapters.process.LogOutput;
+
 /**
  * The single thread on which the control state is changed.
  */
@@ -60,6 +62,7 @@
 			}
 			catch (RuntimeException | Error ex) {
 				LOGGER.error("A task on the control thread failed; halting the process", ex);
+				LogOutput.stop();
 				Runtime.getRuntime().halt(70);
 			}
 		};
--- a/adapters/src/main/java/io/anvilusher/adapters/process/GracefulShutdown.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/GracefulShutdown.java
@@ -2,7 +2,6 @@
 
 import java.util.concurrent.CountDownLatch;
 
-import ch.qos.logback.classic.LoggerContext;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,7 +25,8 @@
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> {
 			stopRequested.countDown();
 			awaitQuietly(drained);
-			stopLogging();
+			// A hook of the logging library would stop it as soon as the signal arrives.
+			LogOutput.stop();
 			// If the hook returned, the process would end with the exit code of the
 			// signal.
 			Runtime.getRuntime().halt(0);
@@ -42,14 +42,6 @@
 		}
 	}
 
-	// Writes the log lines that are still queued. A shutdown hook of the logging library
-	// would stop logging as soon as the signal arrives.
-	private static void stopLogging() {
-		if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
-			context.stop();
-		}
-	}
-
 	private static void awaitQuietly(CountDownLatch latch) {
 		try {
 			latch.await();
