--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -223,7 +223,7 @@
 			this.dispatcher.announcements()
 				.onHead(this.trackedServer, response, this.request.input().head().attemptId());
 		}
-		if (!matchesRequest || response.encoded() || response.isInterim()) {
+		if (!matchesRequest || response.encoded()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
 			return;
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
@@ -37,14 +37,6 @@
 		return this.status >= 200 && this.status < 300;
 	}
 
-	/**
-	 * Returns whether the response itself is still to follow.
-	 * @return whether the status is below 200
-	 */
-	public boolean isInterim() {
-		return this.status < 200;
-	}
-
 	/**
 	 * Returns whether another server's response can be continued with the body of this
 	 * one.
