Start no calls to the store after a gateway has drained

Seen: since calls to the store have an I/O thread of their own, the held traffic thread no longer stops them at the end of drain(). In the tests, gateways of earlier tests went on calling stores that were closed (30,628 log lines in 5 minutes of the platform's tests, which were then ended). In a process the gap lasts only until it exits.

Change: drain() closes the control thread last. Tasks that arrive meanwhile are discarded by the executor itself; the check before could race with close(), and a rejected task halts the process with code 70. The race was found by reading.

--- a/adapters/src/main/java/io/anvilusher/adapters/control/ControlThread.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/control/ControlThread.java
@@ -1,7 +1,8 @@
 package io.anvilusher.adapters.control;
 
-import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
 import org.slf4j.Logger;
@@ -14,11 +15,11 @@
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(ControlThread.class);
 
-	private final ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor((task) -> {
+	private final ScheduledExecutorService executor = new ScheduledThreadPoolExecutor(1, (task) -> {
 		Thread thread = new Thread(task, "control");
 		thread.setDaemon(true);
 		return thread;
-	});
+	}, new ThreadPoolExecutor.DiscardPolicy());
 
 	/**
 	 * Runs a task once, as soon as the thread is free. After {@link #close()} the task is
@@ -26,9 +27,7 @@
 	 * @param task the task
 	 */
 	public void run(Runnable task) {
-		if (!this.executor.isShutdown()) {
-			this.executor.execute(haltOnFailure(task));
-		}
+		this.executor.execute(haltOnFailure(task));
 	}
 
 	/**
@@ -37,9 +36,7 @@
 	 * @param task the task
 	 */
 	public void after(long delayMs, Runnable task) {
-		if (!this.executor.isShutdown()) {
-			this.executor.schedule(haltOnFailure(task), delayMs, TimeUnit.MILLISECONDS);
-		}
+		this.executor.schedule(haltOnFailure(task), delayMs, TimeUnit.MILLISECONDS);
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -271,7 +271,8 @@
 	/**
 	 * Shuts down gracefully: reports not ready, finishes the active requests, writes the
 	 * last usage counts and gives up the duties. Blocks until then, or until most of the
-	 * grace period has passed. No request is read any more when it returns.
+	 * grace period has passed. No request is read and no call to the store is started any
+	 * more when it returns.
 	 */
 	public void drain() {
 		this.draining = true;
@@ -296,6 +297,7 @@
 			LOGGER.warn("Shutdown: interrupted while draining; exiting now");
 		}
 		stopTraffic();
+		this.control.close();
 	}
 
 	// Holds the traffic thread after it has responded to the requests that it refuses.
