Take a failure of the gateway's own for no crash of a server

Callers would see: sound requests are refused as suspected of crashes (503), by all gateways, after one gateway could not open connections.

Cause: a probe that the gateway itself could not start counted as one that the server refused. If starting it threw at once, the server was never probed again.

Change: such a probe has no result, and the next lost connection is probed.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
@@ -24,7 +24,7 @@
 	 * Tries to open a new connection to a server.
 	 * @param server the server, which need not be an engine
 	 * @return whether the connection was opened, even if the server resets it afterwards;
-	 * completes normally in any case
+	 * completes exceptionally if this process failed to try
 	 */
 	CompletableFuture<Boolean> acceptsConnections(RegisteredServer server);
 
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -136,15 +136,24 @@
 	}
 
 	private void probe(LostRequests lost, boolean first) {
-		this.client.acceptsConnections(lost.server)
-			.thenAcceptAsync((accepting) -> onProbed(lost, accepting, first), this.thread)
-			.exceptionally((failure) -> {
-				// Without this, the server would never be probed again.
-				this.lostByServer.remove(lost.server.id(), lost);
-				LOGGER.error("Probing server {} after a lost connection failed unexpectedly", lost.server.id(),
-						failure);
-				return null;
-			});
+		try {
+			this.client.acceptsConnections(lost.server)
+				.thenAcceptAsync((accepting) -> onProbed(lost, accepting, first), this.thread)
+				.whenCompleteAsync((ignored, failure) -> {
+					if (failure != null) {
+						onProbeFailed(lost, failure);
+					}
+				}, this.thread);
+		}
+		catch (RuntimeException | Error ex) {
+			onProbeFailed(lost, ex);
+		}
+	}
+
+	// It is not known whether the server crashed; the next lost connection is probed.
+	private void onProbeFailed(LostRequests lost, Throwable failure) {
+		this.lostByServer.remove(lost.server.id(), lost);
+		LOGGER.error("Probing server {} after a lost connection failed unexpectedly", lost.server.id(), failure);
 	}
 
 	private void onProbed(LostRequests lost, boolean accepting, boolean first) {
