Keep messages of callers out of the memory of calls to the store

Callers would see: while a few callers announce large bodies, the gateway rejects responses of the store above 64 KB, and goes on with an old list of servers and old keys.

Cause: calls to the store shared the memory budget of messages.

Change: they have a budget of their own, a tenth of the heap. Two more findings of the review: the listener of an opened connection closes its socket if it throws, and reading ahead from a caller is suspended if it throws, in place of being tried again in each turn. A call that is made while the client is being closed fails through its result: a test ended with code 70 since such an exception reached the control thread.

Evidence: StreamingHttpClientTests.messagesOfCallersDoNotUseUp... and callOfAClosedClientFailsThroughItsResult. The two listeners have no test.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/BufferingHttpClient.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
 
 import io.anvilusher.model.request.HttpHeader;
 
@@ -49,13 +50,19 @@
 		ResponseCollector collector = new ResponseCollector(new BodyBuffer(maxBodyBytes, this.client.memory().open()));
 		RunningCall running = this.client.start(call, collector);
 		collector.rejected.thenRun(running::cancel);
-		Runnable cancelTimeout = this.client.afterReading(timeoutMs, () -> {
-			if (!collector.response.isDone()) {
-				collector.response.completeExceptionally(new IOException("No response within " + timeoutMs + " ms"));
-				running.cancel();
-			}
-		});
-		collector.response.whenComplete((response, failure) -> cancelTimeout.run());
+		try {
+			Runnable cancelTimeout = this.client.afterReading(timeoutMs, () -> {
+				if (!collector.response.isDone()) {
+					collector.response
+						.completeExceptionally(new IOException("No response within " + timeoutMs + " ms"));
+					running.cancel();
+				}
+			});
+			collector.response.whenComplete((response, failure) -> cancelTimeout.run());
+		}
+		catch (RejectedExecutionException ex) {
+			collector.response.completeExceptionally(new IOException("The client is closed", ex));
+		}
 		return collector.response;
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/CallerDisconnectListener.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/CallerDisconnectListener.java
@@ -9,6 +9,8 @@
 import io.undertow.server.ServerConnection;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.AttachmentKey;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
 import org.xnio.conduits.StreamSourceConduit;
 
@@ -19,6 +21,8 @@
  */
 public final class CallerDisconnectListener {
 
+	private static final Logger LOGGER = LoggerFactory.getLogger(CallerDisconnectListener.class);
+
 	private static final AttachmentKey<CallerDisconnectListener> KEY = AttachmentKey
 		.create(CallerDisconnectListener.class);
 
@@ -76,10 +80,24 @@
 		// The conduit of the request's body ignores reads after the end of the body, so
 		// the underlying conduit is read.
 		StreamSourceConduit source = connection.getOriginalSourceConduit();
-		connection.getChannel().getSourceChannel().setReadListener((channel) -> onReadable(connection, source));
+		connection.getChannel()
+			.getSourceChannel()
+			.setReadListener((channel) -> onReadableOrSuspend(connection, source));
 		source.resumeReads();
 	}
 
+	private static void onReadableOrSuspend(AbstractServerConnection connection, StreamSourceConduit source) {
+		try {
+			onReadable(connection, source);
+		}
+		catch (RuntimeException | Error ex) {
+			// The response in progress is worth more than noticing that the caller
+			// leaves.
+			source.suspendReads();
+			LOGGER.error("Reading ahead from a caller failed; it is not noticed any more if the caller leaves", ex);
+		}
+	}
+
 	private static void onReadable(AbstractServerConnection connection, StreamSourceConduit source) {
 		PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
 		boolean stored = false;
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ConnectingIoThread.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ConnectingIoThread.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.StreamConnection;
 import org.xnio.XnioIoThread;
@@ -79,8 +80,17 @@
 					destination, this.memory.open());
 			connection.getSourceChannel().setConduit(conduit);
 			this.opening = conduit;
-			openListener.handleEvent(connection);
-			this.opening = null;
+			try {
+				openListener.handleEvent(connection);
+			}
+			catch (RuntimeException | Error ex) {
+				// The call fails by its time-out; nothing else would close the socket.
+				IoUtils.safeClose(connection);
+				throw ex;
+			}
+			finally {
+				this.opening = null;
+			}
 		};
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 
 import io.undertow.UndertowOptions;
@@ -110,13 +111,13 @@
 	}
 
 	/**
-	 * Creates a client with an I/O thread of its own that shares the memory budget of
-	 * this one. Its calls do not wait for this client's I/O threads.
+	 * Creates a client with an I/O thread and a memory budget of its own. Its calls wait
+	 * neither for this client's I/O threads nor for the memory of messages of callers.
 	 * @param name name of the I/O thread
 	 * @return the client
 	 */
 	public StreamingHttpClient onOwnThread(String name) {
-		return create(name, 1, this.memory);
+		return create(name, 1, MemoryBudget.ofHeapForControl(Runtime.getRuntime().maxMemory()));
 	}
 
 	/**
@@ -150,7 +151,13 @@
 		}
 		XnioIoThread thread = this.worker.getIoThread();
 		ClientCall running = new ClientCall(this, call, listener, thread);
-		connect(call, thread, running);
+		try {
+			connect(call, thread, running);
+		}
+		catch (RejectedExecutionException ex) {
+			// The I/O threads have ended, so nothing else reports the failure.
+			running.fail(new IOException("The client is closed", ex));
+		}
 		return running;
 	}
 
@@ -193,7 +200,7 @@
 		catch (RuntimeException | Error ex) {
 			// Whoever started the call may be handling another request.
 			LOGGER.error("Opening a connection to {} failed unexpectedly", call.target(), ex);
-			callback.failed(new IOException("Opening a connection to " + call.target() + " failed unexpectedly", ex));
+			callback.failed(new UnexpectedCallException(call.target().getAuthority(), ex));
 		}
 	}
 
--- a/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/StreamingHttpClientTests.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 
@@ -23,9 +24,11 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.model.request.HttpHeader;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 
 /**
  * Tests {@link StreamingHttpClient}.
@@ -126,6 +129,52 @@
 		}
 	}
 
+	/**
+	 * Guards against callers whose messages keep the process from reading the store.
+	 */
+	@Test
+	public void messagesOfCallersDoNotUseUpTheMemoryOfCallsOnAnOwnThread() throws Exception {
+		int bodyBytes = 128 * 1024;
+		try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+				StreamingHttpClient client = StreamingHttpClient.create("callers", 1);
+				StreamingHttpClient own = client.onOwnThread("own")) {
+			CompletableFuture.runAsync(() -> {
+				try {
+					Socket socket = listener.accept();
+					socket.getOutputStream()
+						.write(("HTTP/1.1 200 S\r\nContent-Length: " + bodyBytes + "\r\n\r\n" + "x".repeat(bodyBytes))
+							.getBytes(StandardCharsets.US_ASCII));
+				}
+				catch (IOException ex) {
+					throw new java.io.UncheckedIOException(ex);
+				}
+			});
+			MemoryBudget.Account account = client.memory().open();
+			long heldBytes = Runtime.getRuntime().maxMemory();
+			while (!account.tryResize(heldBytes)) {
+				heldBytes -= bodyBytes / 2;
+			}
+			HttpCallResponse response = new BufferingHttpClient(own)
+				.call(HttpCall.of("GET", URI.create("http://127.0.0.1:" + listener.getLocalPort()), "/", new byte[0]),
+						2_000, 2 * bodyBytes)
+				.get(3, TimeUnit.SECONDS);
+			assertEquals(response.body().length, bodyBytes);
+		}
+	}
+
+	/**
+	 * Guards against an exception on the control thread, which would end the process, if
+	 * a call is made while the client is being closed.
+	 */
+	@Test
+	public void callOfAClosedClientFailsThroughItsResult() {
+		StreamingHttpClient client = StreamingHttpClient.create("closed", 1);
+		client.close();
+		CompletableFuture<HttpCallResponse> response = new BufferingHttpClient(client)
+			.call(HttpCall.of("GET", URI.create("http://127.0.0.1:9"), "/", new byte[0]), 200, 1_000);
+		assertThrows(ExecutionException.class, () -> response.get(2, TimeUnit.SECONDS));
+	}
+
 	@DataProvider
 	public Object[][] throwingListenerMethods() {
 		return new Object[][] { { "onSending" }, { "onHead" }, { "onData" }, { "onEnd" } };
--- a/logic/src/main/java/io/anvilusher/logic/admission/MemoryBudget.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/MemoryBudget.java
@@ -20,6 +20,9 @@
 	 */
 	static final double HEAP_SHARE = 0.4;
 
+	/** Share of the heap for responses to calls that the process needs for itself. */
+	static final double CONTROL_HEAP_SHARE = 0.1;
+
 	private final long maxBytes;
 
 	private final long maxBytesWithLarge;
@@ -46,6 +49,16 @@
 		return new MemoryBudget((long) (maxHeapBytes * HEAP_SHARE));
 	}
 
+	/**
+	 * Creates a budget for responses of the store and of the duties, so that messages of
+	 * callers cannot keep the process from learning what is in force.
+	 * @param maxHeapBytes maximum size of the heap, in bytes
+	 * @return the budget
+	 */
+	public static MemoryBudget ofHeapForControl(long maxHeapBytes) {
+		return new MemoryBudget((long) (maxHeapBytes * CONTROL_HEAP_SHARE));
+	}
+
 	/**
 	 * Opens the account of a message.
 	 * @return an account that holds nothing
