Answer the caller also if ending its request throws

Callers would see: no response, if what throws while a request is sent throws once more while the request is ended.

Cause: the time to retry after was computed in the step that answers; it asks the same registry and clock that may have thrown first. Log lines and counters came before the response.

Change: the request is refused without Retry-After if it is not known, and the response comes before counters and, outside of requests, before the log line.

--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -37,6 +37,7 @@
 import io.anvilusher.gateway.request.CallerResponse;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.RequestInput;
+import io.anvilusher.gateway.request.UnexpectedExceptions;
 import io.anvilusher.gateway.wire.RequestHead;
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.admission.DrainAdmission;
@@ -195,15 +196,16 @@
 			step.run();
 		}
 		catch (RuntimeException | Error ex) {
-			LOGGER.atError()
-				.setCause(ex)
-				.addKeyValue("request_id", this.format.requestId(exchange.getRequestHeaders()))
-				.addKeyValue("host", exchange.getHostAndPort())
-				.addKeyValue("path", exchange.getRequestURI())
-				.log("Unexpected exception before the request was sent to a server; it is refused");
-			this.meters.refused("", RefusalReason.GATEWAY_FAILED);
-			new CallerResponse(exchange).endUnexpectedly(RefusalReason.GATEWAY_FAILED,
-					OptionalLong.of(FAILED_RETRY_AFTER_MS));
+			UnexpectedExceptions.runAll(
+					() -> new CallerResponse(exchange).endUnexpectedly(RefusalReason.GATEWAY_FAILED,
+							OptionalLong.of(FAILED_RETRY_AFTER_MS)),
+					() -> LOGGER.atError()
+						.setCause(ex)
+						.addKeyValue("request_id", this.format.requestId(exchange.getRequestHeaders()))
+						.addKeyValue("host", exchange.getHostAndPort())
+						.addKeyValue("path", exchange.getRequestURI())
+						.log("Unexpected exception before the request was sent to a server; it is refused"),
+					() -> this.meters.refused("", RefusalReason.GATEWAY_FAILED));
 		}
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -157,6 +157,19 @@
 			.flatMap(Optional::stream)
 			.anyMatch(ServerAttempt::mayHaveRun);
 		RefusalReason reason = this.mayHaveRun ? RefusalReason.SERVER_LOST : RefusalReason.GATEWAY_FAILED;
+		UnexpectedExceptions.runAll(() -> logUnexpected(attempt, cause, ended),
+				() -> Optional.ofNullable(attempt).ifPresent(ServerAttempt::endUnexpectedly),
+				() -> Optional.ofNullable(this.currentAttempt).ifPresent(ServerAttempt::endUnexpectedly),
+				() -> this.response.endUnexpectedly(reason, retryAfterMsIfKnown(reason)), this.cancelTimeout,
+				() -> this.dispatcher.forget(this), this::releaseMemory, this::freeUnfetchedKvCache, () -> {
+					if (!ended) {
+						this.dispatcher.meters().refused(this.input.service(), reason);
+						recordEnd(reason.code(), this.streamStarted ? 0 : reason.httpStatus());
+					}
+				});
+	}
+
+	private void logUnexpected(@Nullable ServerAttempt attempt, Throwable cause, boolean ended) {
 		LOGGER.atError()
 			.setCause(cause)
 			.addKeyValue("request_id", this.input.head().attemptId())
@@ -166,15 +179,18 @@
 			.addKeyValue("stream_started", this.streamStarted)
 			.addKeyValue("already_ended", ended)
 			.log("Unexpected exception; the request ends");
-		UnexpectedExceptions.runAll(() -> Optional.ofNullable(attempt).ifPresent(ServerAttempt::endUnexpectedly),
-				() -> Optional.ofNullable(this.currentAttempt).ifPresent(ServerAttempt::endUnexpectedly),
-				() -> this.response.endUnexpectedly(reason, retryAfterMs(reason)), this.cancelTimeout,
-				() -> this.dispatcher.forget(this), this::releaseMemory, this::freeUnfetchedKvCache, () -> {
-					if (!ended) {
-						this.dispatcher.meters().refused(this.input.service(), reason);
-						recordEnd(reason.code(), this.streamStarted ? 0 : reason.httpStatus());
-					}
-				});
+	}
+
+	// Whatever threw first may throw here again, and the caller must be answered all the
+	// same.
+	private OptionalLong retryAfterMsIfKnown(RefusalReason reason) {
+		try {
+			return retryAfterMs(reason);
+		}
+		catch (RuntimeException | Error ex) {
+			LOGGER.error("The time to retry after is not known; the request is refused without it", ex);
+			return OptionalLong.empty();
+		}
 	}
 
 	private void freeUnfetchedKvCache() {
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -486,7 +486,7 @@
 		if (this.ignored) {
 			return;
 		}
-		if (cause instanceof UnexpectedCallException) {
+		if (sent && cause instanceof UnexpectedCallException) {
 			this.request.endUnexpectedly(this, cause);
 			return;
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/UnexpectedExceptions.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/UnexpectedExceptions.java
@@ -8,7 +8,7 @@
 /**
  * Runs the steps that end a request after an unexpected exception.
  */
-final class UnexpectedExceptions {
+public final class UnexpectedExceptions {
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(UnexpectedExceptions.class);
 
@@ -20,7 +20,7 @@
 	 * logged.
 	 * @param steps the steps
 	 */
-	static void runAll(Runnable... steps) {
+	public static void runAll(Runnable... steps) {
 		List.of(steps).forEach((step) -> {
 			try {
 				step.run();
