--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -24,6 +24,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.placement.PlacementTicket;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.KvStep;
@@ -105,6 +106,8 @@
 
 	private boolean checkScheduled;
 
+	private final Optional<CoordinatedPlacement> coordination;
+
 	/**
 	 * Creates a dispatcher.
 	 * @param dependencies the objects that it uses
@@ -125,6 +128,7 @@
 		this.random = dependencies.random();
 		this.retryLimits = retryLimits;
 		this.plainPlacer = new PlainPlacer(dataCentre);
+		this.coordination = dependencies.coordination();
 	}
 
 	/**
@@ -152,6 +156,7 @@
 	 * @param request the request
 	 */
 	void forget(GatewayRequest request) {
+		request.endTicket();
 		this.activeRequests.remove(request);
 		serviceState(request.input().service()).queue().remove(request);
 	}
@@ -237,6 +242,44 @@
 		});
 	}
 
+	/**
+	 * Asks the coordinator of the engines where to send a request.
+	 * @param request the request
+	 * @param excludedServers ids of servers that earlier attempts were sent to
+	 * @param listener is told the decision, also within this call
+	 * @return the ticket; empty if the service is not coordinated
+	 */
+	Optional<PlacementTicket> askCoordinator(GatewayRequest request, Set<String> excludedServers,
+			PlacementTicket.Listener listener) {
+		return request.input()
+			.head()
+			.prompt()
+			.filter((prompt) -> request.input().route().carriesPrompt())
+			.flatMap((prompt) -> this.coordination
+				.flatMap((coordinated) -> coordinated.ask(request.input(), prompt, excludedServers, listener)));
+	}
+
+	/**
+	 * Returns the tracked state of a server that accepts requests.
+	 * @param service name of its service
+	 * @param serverId id of the server
+	 * @return the server, or empty if this gateway does not know it as accepting
+	 */
+	Optional<TrackedServer> acceptingServer(String service, String serverId) {
+		return this.serverRegistry.servers(service)
+			.stream()
+			.filter((server) -> server.server().id().equals(serverId))
+			.findFirst();
+	}
+
+	/**
+	 * Records that an engine reported the relative time of its machine.
+	 * @param service name of its service
+	 */
+	void onRelativeTimeReported(String service) {
+		this.coordination.ifPresent((coordinated) -> coordinated.onRelativeTimeReported(service));
+	}
+
 	boolean enqueue(GatewayRequest request) {
 		boolean queued = serviceState(request.input().service()).queue()
 			.offer(request, request.input().route().targetMs(), nowMs());
@@ -381,10 +424,13 @@
 	 * @param clock the monotonic clock
 	 * @param thread the traffic thread
 	 * @param random spreads the Retry-After delays
+	 * @param coordination asks coordinators where to send prompts; empty if this process
+	 * exchanges no messages with other gateways
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
-			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random) {
+			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random,
+			Optional<CoordinatedPlacement> coordination) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -12,11 +12,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
+import io.anvilusher.gateway.placement.PlacementTicket;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.placement.Placement;
 import io.anvilusher.logic.placement.TrackedServer;
+import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.logic.request.EventSplitter;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.RefusalReason;
@@ -79,6 +81,12 @@
 
 	private @Nullable TrackedServer decodeServer;
 
+	private @Nullable PlacementTicket ticket;
+
+	private OptionalLong coordinatorRetryAfterMs = OptionalLong.empty();
+
+	private boolean late;
+
 	private boolean prefillDone;
 
 	private int sends;
@@ -208,6 +216,12 @@
 	}
 
 	private void placeOrEnqueue() {
+		if (this.dispatcher.askCoordinator(this, this.excludedServers, new TicketListener()).isEmpty()) {
+			placeWithoutCoordinator();
+		}
+	}
+
+	private void placeWithoutCoordinator() {
 		List<TrackedServer> engines = this.dispatcher.enginesToProbe(this, this.excludedServers);
 		if (engines.isEmpty()) {
 			placeOrEnqueueNow();
@@ -250,12 +264,7 @@
 			send(unsplit.server(), unsplit.uncachedTokens(), new KvStep.None(), null);
 		}
 		else if (placement instanceof Placement.Split split) {
-			// The retry budget allowed one more attempt. Running the prefill again as
-			// well adds a further request to the engines, so it takes another retry from
-			// the budget.
-			if (this.prefillDone && !this.dispatcher.serviceState(this.input.service())
-				.retryBudget()
-				.tryRetry(this.dispatcher.nowMs())) {
+			if (!mayPrefillAgain()) {
 				refuse(RefusalReason.SERVICE_SATURATED);
 				return true;
 			}
@@ -268,6 +277,91 @@
 		return true;
 	}
 
+	private void onAssigned(PlacementDecision.Assigned assigned) {
+		if (this.done || refuseSuspect()) {
+			endTicket();
+			return;
+		}
+		Optional<TrackedServer> engine = this.dispatcher.acceptingServer(this.input.service(), assigned.engineId());
+		Optional<TrackedServer> decode = assigned.decodeEngineId()
+			.flatMap((id) -> this.dispatcher.acceptingServer(this.input.service(), id));
+		if (engine.isEmpty() || decode.isPresent() != assigned.decodeEngineId().isPresent()) {
+			String unusable = engine.isEmpty() ? assigned.engineId() : assigned.decodeEngineId().orElse("");
+			failTicket(unusable, true);
+			placeWithoutCoordinator();
+			return;
+		}
+		this.late = assigned.late();
+		if (decode.isEmpty()) {
+			send(engine.get(), assigned.uncachedTokens(), new KvStep.None(), null);
+			return;
+		}
+		if (!mayPrefillAgain()) {
+			refuse(RefusalReason.SERVICE_SATURATED);
+			return;
+		}
+		this.decodeServer = decode.get();
+		send(engine.get(), assigned.uncachedTokens(), new KvStep.Prefill(), null);
+	}
+
+	// The retry budget allowed one more attempt. Running the prefill again as well adds a
+	// further request to the engines, so it takes another retry from the budget.
+	private boolean mayPrefillAgain() {
+		return !this.prefillDone || this.dispatcher.serviceState(this.input.service())
+			.retryBudget()
+			.tryRetry(this.dispatcher.nowMs());
+	}
+
+	/**
+	 * Returns whether the coordinator expects the first event to be late.
+	 * @return whether other requests are to go first at the engine
+	 */
+	boolean isLate() {
+		return this.late;
+	}
+
+	/**
+	 * Records that the prompt was prefilled.
+	 */
+	void onPromptPrefilled() {
+		if (this.ticket != null) {
+			this.ticket.onPrefilled();
+		}
+	}
+
+	/**
+	 * Records a load that a server reported.
+	 * @param serverId id of the server
+	 * @param load the load
+	 */
+	void onLoad(String serverId, ResponseHead.LoadReport load) {
+		if (load.relativeTimePercent().isPresent() && this.input.route().carriesPrompt()) {
+			this.dispatcher.onRelativeTimeReported(this.input.service());
+		}
+		if (this.ticket != null) {
+			this.ticket.onLoad(serverId, load);
+		}
+	}
+
+	private void failTicket(String serverId, boolean rejected) {
+		if (this.ticket != null) {
+			this.ticket.onFailed(serverId, rejected);
+			this.ticket = null;
+		}
+	}
+
+	/**
+	 * Tells the coordinator, if there is one, that the request needs no engine any more.
+	 */
+	void endTicket() {
+		if (this.ticket != null) {
+			boolean paused = this.eventSplitter.events() > 1;
+			this.ticket.onEnded(paused ? OptionalLong.of(this.longestPauseMs) : OptionalLong.empty(),
+					this.input.route().pauseTargetMs());
+			this.ticket = null;
+		}
+	}
+
 	private void send(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
 		this.sends++;
 		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
@@ -378,6 +472,7 @@
 				|| (arrived && !this.dispatcher.serviceState(this.input.service()).retryBudget().tryRetry(nowMs))) {
 			return false;
 		}
+		failTicket(attempt.serverId(), failure == AttemptFailure.SERVER_FULL);
 		this.dispatcher.meters().retried(this.input.service(), failure);
 		LOGGER.atInfo()
 			.addKeyValue("request_id", this.input.head().attemptId())
@@ -435,6 +530,9 @@
 	}
 
 	private OptionalLong retryAfterMs(RefusalReason reason) {
+		if (reason == RefusalReason.SERVICE_SATURATED && this.coordinatorRetryAfterMs.isPresent()) {
+			return this.coordinatorRetryAfterMs;
+		}
 		boolean worthRetrying = reason.notRun() && reason != RefusalReason.SUSPECTED_OF_CRASHES;
 		return worthRetrying ? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service()))
 				: OptionalLong.empty();
@@ -614,6 +712,39 @@
 		this.response.send(head.status(), head.callerHeaders(), body);
 	}
 
+	private final class TicketListener implements PlacementTicket.Listener {
+
+		@Override
+		public void onAsked(PlacementTicket asked) {
+			GatewayRequest.this.ticket = asked;
+		}
+
+		@Override
+		public void onAssigned(PlacementDecision.Assigned assigned) {
+			guard(() -> GatewayRequest.this.onAssigned(assigned));
+		}
+
+		@Override
+		public void onRefused(long retryAfterMs) {
+			guard(() -> {
+				GatewayRequest.this.coordinatorRetryAfterMs = OptionalLong.of(retryAfterMs);
+				if (!GatewayRequest.this.done) {
+					refuse(RefusalReason.SERVICE_SATURATED);
+				}
+			});
+		}
+
+		@Override
+		public void onNotCoordinated() {
+			guard(() -> {
+				if (!GatewayRequest.this.done) {
+					placeWithoutCoordinator();
+				}
+			});
+		}
+
+	}
+
 	private RefusalReason noServerReason() {
 		return this.dispatcher.noServerReason(this.input.service());
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -36,6 +36,11 @@
 
 	private static final int FIRST_SERVER_ERROR = 500;
 
+	private static final int LONG_PROMPT_PRIORITY = 4;
+
+	/** Priority of long prompts whose first event can no longer be on time. */
+	private static final int LATE_PRIORITY = 6;
+
 	/** Largest response that is buffered until it is complete. */
 	private static final int MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
 
@@ -113,7 +118,8 @@
 	// Short prompts get priority 1 and run before long ones with priority 4: a short
 	// prompt delays a long one only a little, a long prompt delays a short one a lot.
 	private OptionalInt priority(PromptShape prompt) {
-		return OptionalInt.of((prompt.promptTokens() < GatewayRequest.SHORT_PROMPT_TOKENS) ? 1 : 4);
+		int longPromptPriority = this.request.isLate() ? LATE_PRIORITY : LONG_PROMPT_PRIORITY;
+		return OptionalInt.of((prompt.promptTokens() < GatewayRequest.SHORT_PROMPT_TOKENS) ? 1 : longPromptPriority);
 	}
 
 	String serverId() {
@@ -228,7 +234,10 @@
 			return;
 		}
 		this.trackedServer.health().onDataReceived(nowMs);
-		response.load().ifPresent((load) -> this.trackedServer.onLoadReport(load.running(), load.waiting(), nowMs));
+		response.load().ifPresent((load) -> {
+			this.trackedServer.onLoadReport(load.running(), load.waiting(), nowMs);
+			this.request.onLoad(serverId(), load);
+		});
 		if (response.notRun() || status == MISDIRECTED) {
 			onNotRun(nowMs);
 			return;
@@ -363,6 +372,7 @@
 							this.request.input().route().targetMs(), nowMs);
 			}
 		});
+		this.request.onPromptPrefilled();
 		countRun(nowMs);
 		releasePrompt();
 		this.dispatcher.onCapacityFreed(this.request.input().service());
@@ -473,6 +483,7 @@
 		PromptShape prompt = this.request.input().head().prompt().orElseThrow();
 		this.trackedServer.health().onResponse(elapsedMs());
 		this.trackedServer.onPromptPrefilled(prompt.sharedParts());
+		this.request.onPromptPrefilled();
 		end();
 		this.dispatcher.format()
 			.readHandle(takeBody())
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 import io.anvilusher.model.request.HttpHeader;
@@ -60,8 +61,10 @@
 	 *
 	 * @param running number of running requests
 	 * @param waiting number of queued requests
+	 * @param relativeTimePercent time that work takes on the server's machine at this
+	 * moment, in percent of the usual; empty if the server does not report it
 	 */
-	public record LoadReport(int running, int waiting) {
+	public record LoadReport(int running, int waiting, OptionalInt relativeTimePercent) {
 
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -34,7 +34,7 @@
 	 * Prompts with fewer shared tokens are placed as short prompts: prefilling them again
 	 * takes only a few milliseconds.
 	 */
-	static final int MIN_AFFINITY_TOKENS = 1_024;
+	public static final int MIN_AFFINITY_TOKENS = 1_024;
 
 	/**
 	 * Number of engines that may be the home of a shared part, as in consistent hashing
