Place prompts by a coordinator that knows the pending work of the engines

Cause: each of 25 gateways sees about one response a second from each engine, so no gateway knows the load, and first events are late although engines are half idle. A coordinator for each placement group now assigns engines, with a queue in front of each and a model of its KV cache and speed.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -43,16 +43,27 @@
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
+import io.anvilusher.gateway.peer.LocalPeerChannel;
+import io.anvilusher.gateway.peer.ManagedPeerChannel;
+import io.anvilusher.gateway.peer.Peer;
+import io.anvilusher.gateway.peer.UdpPeerChannel;
 import io.anvilusher.gateway.request.DirectMemoryMonitor;
+import io.anvilusher.gateway.placement.PlacementClient;
+import io.anvilusher.gateway.placement.PlacementService;
+import io.anvilusher.gateway.placement.Timers;
+import io.anvilusher.gateway.request.CoordinatedPlacement;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.fleet.LapseGuard;
+import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.logic.usage.WallClockEstimator;
 import io.anvilusher.model.fleet.RegisteredServer;
+import io.anvilusher.model.routing.EngineProfile;
 import io.anvilusher.model.routing.RoutingTable;
+import io.anvilusher.model.routing.ServiceProfile;
 
 /**
  * A gateway process. One thread handles all request traffic, another one the control
@@ -112,6 +123,9 @@
 
 	private static final long ADMIN_RETRY_DELAY_MS = 1_000;
 
+	/** Capacity of an engine's KV cache if the routing table does not say. */
+	private static final long DEFAULT_KV_CAPACITY_TOKENS = 500_000;
+
 	/** Longest wait for the traffic thread to finish what it has read. */
 	private static final long LAST_PASS_MS = 200;
 
@@ -147,6 +161,12 @@
 
 	private final SuspectGuard suspects;
 
+	private final ManagedPeerChannel peerChannel;
+
+	private final CoordinatedPlacement coordination;
+
+	private final PlacementService placementService;
+
 	private Map<String, RegisteredServer> registeredServers = Map.of();
 
 	private volatile List<RegisteredServer> serversInUse = List.of();
@@ -202,14 +222,41 @@
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
 		this.suspects = new SuspectGuard(settings.process(), engineControl, thread, this.adapter.suspects(),
 				this.context, timeOfDayMs, random);
+		this.peerChannel = createPeerChannel();
+		Timers timers = new TrafficTimers(thread, this.clock);
+		this.coordination = new CoordinatedPlacement(
+				new PlacementClient(this.peerChannel, timers, this.meters, random.nextLong() >>> 16), this.peerChannel,
+				this.serverRegistry, this.routes::get, this.clock::nowMs);
+		this.placementService = new PlacementService(this.peerChannel, timers, this.meters, random,
+				(service) -> this.serverRegistry.servers(service).stream().map(TrackedServer::server).toList(),
+				this::kvCapacityTokens);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
-						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random),
+						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
+						Optional.of(this.coordination)),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
 				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
 	}
 
+	private long kvCapacityTokens(String service) {
+		return this.routes.get()
+			.map((index) -> index.table().services().get(service))
+			.flatMap(ServiceProfile::engine)
+			.map(EngineProfile::kvCapacityTokens)
+			.orElse(DEFAULT_KV_CAPACITY_TOKENS);
+	}
+
+	private ManagedPeerChannel createPeerChannel() {
+		GatewaySettings.PeerSettings peers = this.settings.peers();
+		return peers.address()
+			.<ManagedPeerChannel>map((address) -> new UdpPeerChannel(
+					new Peer(this.settings.process(), address, this.settings.dataCentre(), peers.processorCores()),
+					this.adapter.gateways(), this.context, this.worker))
+			.orElseGet(() -> new LocalPeerChannel(this.settings.process(), this.worker.getIoThread(), this.meters,
+					this.clock));
+	}
+
 	/**
 	 * Starts a gateway.
 	 * @param settings its settings
@@ -270,6 +317,7 @@
 		long versionInUse = this.routes.get().map((index) -> index.table().version()).orElse(Long.MIN_VALUE);
 		newest.filter((table) -> table.version() > versionInUse).ifPresent((table) -> {
 			this.routes.set(Optional.of(new RouteIndex(table)));
+			this.coordination.onTable(table);
 			LOGGER.atInfo()
 				.addKeyValue("version", table.version())
 				.addKeyValue("replaces", versionInUse)
@@ -306,6 +354,7 @@
 	 */
 	public void drain() {
 		this.draining = true;
+		this.worker.getIoThread().execute(this.placementService::drain);
 		long endMs = this.clock.nowMs() + (long) (this.settings.graceMs() * GRACE_SHARE) - LAST_PASS_MS;
 		try {
 			this.httpServer.drain(Math.min(DRAIN_ACCEPT_MS, this.settings.graceMs() / 2),
--- a/gateway/src/main/java/io/anvilusher/gateway/peer/UdpSocket.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/peer/UdpSocket.java
@@ -10,6 +10,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -76,9 +77,8 @@
 	}
 
 	private boolean tryBind(boolean logged) {
-		// The worker does not close the socket that it fails to bind, so that one is
-		// bound
-		// first that is closed in any case.
+		// The worker leaves a socket open that it fails to bind. The address is therefore
+		// tried with a socket that is closed in any case.
 		try (DatagramSocket probe = new DatagramSocket(this.address)) {
 			LOGGER.debug("Address {} is free", probe.getLocalSocketAddress());
 		}
@@ -90,7 +90,7 @@
 			// With SO_REUSEADDR, two processes could bind the same UDP address and each
 			// would get a part of the datagrams.
 			this.channel = this.worker.createUdpServer(this.address, this::listen,
-					OptionMap.create(Options.REUSE_ADDRESS, false));
+					OptionMap.create(Options.REUSE_ADDRESSES, false));
 			LOGGER.info("Messages of other gateways are received at {}", this.address);
 			return true;
 		}
@@ -112,8 +112,9 @@
 	}
 
 	private void listen(MulticastMessageChannel bound) {
-		bound.getReceiveSetter().set((readable) -> receive((MulticastMessageChannel) readable));
-		bound.resumeReceives();
+		ChannelListener<MulticastMessageChannel> listener = this::receive;
+		bound.getReadSetter().set(listener);
+		bound.resumeReads();
 	}
 
 	private void receive(MulticastMessageChannel readable) {
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementMessages.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementMessages.java
@@ -108,8 +108,8 @@
 	private static Optional<PlacementDecision> readDecision(JsonNode root) {
 		return switch (root.path(1).asInt()) {
 			case ASSIGNED -> Optional.of(new PlacementDecision.Assigned(root.path(2).asText(),
-					Optional.of(root.path(3).asText()).filter((id) -> !id.isEmpty()),
-					Math.max(0, root.path(4).asInt()), root.path(5).asBoolean()));
+					Optional.of(root.path(3).asText()).filter((id) -> !id.isEmpty()), Math.max(0, root.path(4).asInt()),
+					root.path(5).asBoolean()));
 			case QUEUED -> Optional.of(new PlacementDecision.Queued());
 			case REFUSED -> Optional.of(new PlacementDecision.Refused(Math.max(0, root.path(2).asLong())));
 			case NO_ENGINE -> Optional.of(new PlacementDecision.NoEngine());
@@ -138,21 +138,18 @@
 	}
 
 	static Optional<End> decodeEnd(byte[] payload) {
-		return read(payload, END_FIELDS)
-			.filter((root) -> root.path(3).asInt(-1) >= 0
-					&& root.path(3).asInt() < PlacementReport.Event.values().length)
+		return read(payload, END_FIELDS).filter(
+				(root) -> root.path(3).asInt(-1) >= 0 && root.path(3).asInt() < PlacementReport.Event.values().length)
 			.map((root) -> {
 				long pauseMs = root.path(5).asLong();
 				List<PlacementReport.EngineLoad> loads = StreamSupport.stream(root.path(7).spliterator(), false)
 					.map((load) -> new PlacementReport.EngineLoad(load.path(0).asText(), load.path(1).asInt(),
 							load.path(2).asInt(), optional(load.path(3).asInt(-1))))
 					.toList();
-				return new End(root.path(0).asLong(),
-						new PlacementGroup(root.path(1).asText(), root.path(2).asInt()),
-						new PlacementReport(PlacementReport.Event.values()[root.path(3).asInt()],
-								root.path(4).asText(),
-								(pauseMs >= 0) ? OptionalLong.of(pauseMs) : OptionalLong.empty(),
-								root.path(6).asLong(), loads));
+				return new End(root.path(0).asLong(), new PlacementGroup(root.path(1).asText(), root.path(2).asInt()),
+						new PlacementReport(PlacementReport.Event.values()[root.path(3).asInt()], root.path(4).asText(),
+								(pauseMs >= 0) ? OptionalLong.of(pauseMs) : OptionalLong.empty(), root.path(6).asLong(),
+								loads));
 			});
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementTicketReports.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementTicketReports.java
@@ -14,8 +14,8 @@
 	}
 
 	static PlacementMessages.End cancelled(PlacementTicket ticket) {
-		return new PlacementMessages.End(ticket.ask().number(), ticket.ask().group(), new PlacementReport(
-				PlacementReport.Event.ENDED, "", OptionalLong.empty(), 0, List.of()));
+		return new PlacementMessages.End(ticket.ask().number(), ticket.ask().group(),
+				new PlacementReport(PlacementReport.Event.ENDED, "", OptionalLong.empty(), 0, List.of()));
 	}
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/request/CoordinatedPlacement.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/CoordinatedPlacement.java
@@ -25,8 +25,8 @@
 public final class CoordinatedPlacement {
 
 	/**
-	 * Difference between the priorities of the routes of a service from which its requests
-	 * compete by priority. Neighbouring classes do not.
+	 * Difference between the priorities of the routes of a service from which its
+	 * requests compete by priority. Neighbouring classes do not.
 	 */
 	static final int MIN_PRIORITY_DIFFERENCE = 2;
 
@@ -70,8 +70,8 @@
 	}
 
 	/**
-	 * Applies a routing table: starts the messages between gateways if one of its services
-	 * needs them. May be called from any thread.
+	 * Applies a routing table: starts the messages between gateways if one of its
+	 * services needs them. May be called from any thread.
 	 * @param table the table
 	 */
 	public void onTable(RoutingTable table) {
@@ -97,10 +97,13 @@
 	}
 
 	private boolean isCoordinated(String service) {
-		this.routes.get().map(RouteIndex::table).filter((table) -> table.version() != this.tableVersion).ifPresent((table) -> {
-			this.tableVersion = table.version();
-			this.priorityServices = servicesWithPriorities(table);
-		});
+		this.routes.get()
+			.map(RouteIndex::table)
+			.filter((table) -> table.version() != this.tableVersion)
+			.ifPresent((table) -> {
+				this.tableVersion = table.version();
+				this.priorityServices = servicesWithPriorities(table);
+			});
 		return this.relativeTimeServices.contains(service) || this.priorityServices.contains(service);
 	}
 
@@ -112,9 +115,8 @@
 		List<?> engines = this.serverRegistry.servers(input.service());
 		long now = this.nowMs.getAsLong();
 		return Optional.of(this.client.ask(engines.size(),
-				new PlacementClient.Asked(input.service(), prompt,
-						input.arrivedAtMs() + input.route().targetMs() - now, input.timeoutAtMs() - now,
-						input.route().priority(), excludedServers),
+				new PlacementClient.Asked(input.service(), prompt, input.arrivedAtMs() + input.route().targetMs() - now,
+						input.timeoutAtMs() - now, input.route().priority(), excludedServers),
 				listener));
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -307,9 +307,8 @@
 	// The retry budget allowed one more attempt. Running the prefill again as well adds a
 	// further request to the engines, so it takes another retry from the budget.
 	private boolean mayPrefillAgain() {
-		return !this.prefillDone || this.dispatcher.serviceState(this.input.service())
-			.retryBudget()
-			.tryRetry(this.dispatcher.nowMs());
+		return !this.prefillDone
+				|| this.dispatcher.serviceState(this.input.service()).retryBudget().tryRetry(this.dispatcher.nowMs());
 	}
 
 	/**
