Messages between gateways over UDP, and the list of gateways in the store

Allowances and coordinated placement need small messages between gateways; there was no way to send them (docs/design/coordinated-load.md, section 2).

UdpPeerChannel serves gateways with a peerAddress, LocalPeerChannel the others (no peers, only messages to itself). The gateway creates the channel and nobody calls activate() yet, so no deployment opens a socket or makes a store call for it.

--- a/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
@@ -72,6 +72,13 @@
 	 */
 	StoreTable suspects();
 
+	/**
+	 * Returns the table of the store in which gateways register for messages between
+	 * them.
+	 * @return the table
+	 */
+	StoreTable gateways();
+
 	/**
 	 * Returns the group that elects the holder of the duties.
 	 * @return the group
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -43,6 +43,10 @@
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
+import io.anvilusher.gateway.peer.LocalPeerChannel;
+import io.anvilusher.gateway.peer.ManagedPeerChannel;
+import io.anvilusher.gateway.peer.Peer;
+import io.anvilusher.gateway.peer.UdpPeerChannel;
 import io.anvilusher.gateway.request.DirectMemoryMonitor;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
@@ -147,6 +151,8 @@
 
 	private final SuspectGuard suspects;
 
+	private final ManagedPeerChannel peerChannel;
+
 	private Map<String, RegisteredServer> registeredServers = Map.of();
 
 	private volatile List<RegisteredServer> serversInUse = List.of();
@@ -202,6 +208,7 @@
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
 		this.suspects = new SuspectGuard(settings.process(), engineControl, thread, this.adapter.suspects(),
 				this.context, timeOfDayMs, random);
+		this.peerChannel = createPeerChannel();
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random),
@@ -210,6 +217,16 @@
 				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
 	}
 
+	private ManagedPeerChannel createPeerChannel() {
+		GatewaySettings.PeerSettings peers = this.settings.peers();
+		return peers.address()
+			.<ManagedPeerChannel>map((address) -> new UdpPeerChannel(
+					new Peer(this.settings.process(), address, this.settings.dataCentre(), peers.processorCores()),
+					this.adapter.gateways(), this.context, this.worker))
+			.orElseGet(() -> new LocalPeerChannel(this.settings.process(), this.worker.getIoThread(), this.meters,
+					this.clock));
+	}
+
 	/**
 	 * Starts a gateway.
 	 * @param settings its settings
--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -26,11 +26,12 @@
  * without renewal, in ms
  * @param drainMs time after which a draining server must get no new requests, in ms
  * @param catchUpMs time in ms until the newest state must be in use after an outage
+ * @param peers messages between gateways
  */
 public record GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties, long graceMs,
 		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs, long drainMs,
-		long catchUpMs) {
+		long catchUpMs, PeerSettings peers) {
 
 	private static final long MAX_MS = 3_600_000;
 
@@ -49,11 +50,45 @@
 				seconds(reader, "graceS"), reader.number("retryRatio", 0, 1, 0), seconds(reader, "retryWindowS"),
 				seconds(reader, "usageWindowS"), seconds(reader, "usageLateS"),
 				reader.wholeNumber("leaseMs", 1, MAX_MS, 3_000), reader.wholeNumber("drainMs", 1, MAX_MS, 2_000),
-				seconds(reader, "catchUpS"));
+				seconds(reader, "catchUpS"), PeerSettings.read(reader));
 	}
 
 	private static long seconds(ObjectReader reader, String field) {
 		return (long) (reader.number(field, 0.1, MAX_MS / 1_000.0, 1) * 1_000);
 	}
 
+	/**
+	 * Settings of the messages between gateways.
+	 *
+	 * @param address address at which this gateway receives messages of the other ones;
+	 * empty if it exchanges none
+	 * @param processorCores number of processor cores that this gateway may use, which
+	 * may be a fraction
+	 */
+	public record PeerSettings(Optional<InetSocketAddress> address, double processorCores) {
+
+		/** Settings of a gateway that exchanges no messages. */
+		public static final PeerSettings NONE = new PeerSettings(Optional.empty(), 1);
+
+		private static final double MIN_CORES = 0.001;
+
+		private static final double MAX_CORES = 100_000;
+
+		// A deployment without a second internal port leaves the port empty.
+		private static PeerSettings read(ObjectReader reader) {
+			Optional<String> text = reader.optionalText("peerAddress")
+				.filter((value) -> !value.isEmpty() && !value.endsWith(":"));
+			Optional<InetSocketAddress> address = text.flatMap(SocketAddresses::parse)
+				.filter((parsed) -> parsed.getPort() > 0 && !parsed.getAddress().isAnyLocalAddress());
+			if (text.isPresent() && address.isEmpty()) {
+				reader.problem("peerAddress", "\"peerAddress\" must be an IP number and a port at which the other "
+						+ "gateways reach this one, such as 10.0.0.7:8080");
+			}
+			double share = reader.number("processorShare", MIN_CORES, MAX_CORES, 1);
+			double count = reader.number("processorCount", MIN_CORES, MAX_CORES, 1);
+			return new PeerSettings(address, share * count);
+		}
+
+	}
+
 }
--- a/review/harness/GatewayProcess.java
+++ b/review/harness/GatewayProcess.java
@@ -32,6 +32,9 @@
                 .replace("{{listen.front|json}}", "\"127.0.0.1:" + this.callerPort + "\"")
                 .replace("{{listen.ready_addr|json}}", "\"127.0.0.1:" + this.readyPort + "\"")
                 .replace("{{ip}}:{{internal_ports.0}}", "127.0.0.1:" + this.metricsPort)
+                .replace("{{ip}}:{{internal_ports.1}}", "127.0.0.1:" + this.metricsPort)
+                // Optional values are left out, as the platform does where it has none.
+                .replaceAll("\\{\\{#([a-z_.]+)}}.*?\\{\\{/\\1}}", "")
                 .replace("{{platform.address}}", "127.0.0.1:" + storePort)
                 .replace("{{cloud_api.address}}", "127.0.0.1:" + storePort).replace("{{bounds.grace_s|json}}", "8")
                 .replace("{{bounds.retry_budget_ratio|json}}", "0.2").replace("{{bounds.budget_window_s|json}}", "10")
