--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineQueue.java
@@ -29,7 +29,13 @@
 	 * Work of late requests that may wait for one engine. More could not be served before
 	 * their deadlines while a load peak lasts.
 	 */
-	static final double MAX_LATE_WORK_MS = 400;
+	static final double MAX_LATE_WORK_MS = 150;
+
+	/**
+	 * Share of the time until its deadline that a late request may wait. A client that is
+	 * refused earlier still has time to come back when the peak is over.
+	 */
+	static final double MAX_LATE_WAIT_SHARE = 0.35;
 
 	private final List<QueuedRequest> onTime = new ArrayList<>();
 
@@ -40,11 +46,10 @@
 	/**
 	 * Adds a request.
 	 * @param queued the request
-	 * @param workMs time until its prompt would be prefilled if it were sent now
-	 * @param nowMs current time of the monotonic clock
+	 * @param canBeOnTime whether it is expected to be on time behind those that wait
 	 */
-	void add(QueuedRequest queued, double workMs, long nowMs) {
-		(queued.isOnTime(workMs, nowMs) ? this.onTime : this.late).add(queued);
+	void add(QueuedRequest queued, boolean canBeOnTime) {
+		(canBeOnTime ? this.onTime : this.late).add(queued);
 	}
 
 	/**
@@ -88,7 +93,8 @@
 		moveLate(workMs, nowMs);
 		List<QueuedRequest> removed = new ArrayList<>();
 		this.late.removeIf((queued) -> {
-			boolean hopeless = !queued.meetsDeadline(workMs.applyAsDouble(queued), nowMs);
+			boolean hopeless = !queued.meetsDeadline(workMs.applyAsDouble(queued), nowMs)
+					|| queued.hasWaitedTooLong(nowMs);
 			if (hopeless) {
 				removed.add(queued);
 			}
@@ -133,6 +139,15 @@
 		return onTimeOnly ? onTimeMs : onTimeMs + this.late.stream().mapToDouble(workMs).sum();
 	}
 
+	/**
+	 * Returns the work of the queued requests that can only be late.
+	 * @param workMs estimates the work of a request, in ms
+	 * @return milliseconds
+	 */
+	double lateWorkMs(ToDoubleFunction<QueuedRequest> workMs) {
+		return this.late.stream().mapToDouble(workMs).sum();
+	}
+
 	int size() {
 		return this.onTime.size() + this.late.size();
 	}
@@ -161,6 +176,10 @@
 			return nowMs + workMs + DELIVERY_MS <= this.request.deadlineAtMs();
 		}
 
+		boolean hasWaitedTooLong(long nowMs) {
+			return nowMs - this.queuedAtMs > MAX_LATE_WAIT_SHARE * (this.request.deadlineAtMs() - this.queuedAtMs);
+		}
+
 		double orderMs() {
 			return this.request.targetAtMs() + PRIORITY_STEP_MS * this.request.priority();
 		}
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -215,10 +215,15 @@
 			return send(queued, best.engine(), nowMs);
 		}
 		EngineLedger engine = best.engine();
-		if (!queued.meetsDeadline(engine.backlogMs(nowMs) + engine.workMs(best.uncachedTokens()), nowMs)) {
+		double aheadMs = engine.backlogMs(nowMs)
+				+ engine.queue().workMs((ahead) -> engine.workMs(ahead.uncachedTokens()), true);
+		double workMs = engine.workMs(best.uncachedTokens());
+		boolean onTime = queued.isOnTime(aheadMs + workMs, nowMs);
+		if (!onTime && engine.queue().lateWorkMs((ahead) -> engine.workMs(ahead.uncachedTokens()))
+				+ workMs > EngineQueue.MAX_LATE_WORK_MS) {
 			return refused(nowMs);
 		}
-		engine.queue().add(queued, engine.backlogMs(nowMs) + engine.workMs(best.uncachedTokens()), nowMs);
+		engine.queue().add(queued, onTime);
 		PlacementDecision decision = new PlacementDecision.Queued();
 		this.requests.put(request.key(), new PlacedRequest(engine, Optional.empty(), decision, 0));
 		return decision;
