--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
@@ -35,6 +35,8 @@
 
 	private final CoordinatorSelector selector = new CoordinatorSelector();
 
+	private final GatewayDelay delay = new GatewayDelay();
+
 	private final Map<Long, PlacementTicket> tickets = new HashMap<>();
 
 	private long lastNumber;
@@ -67,8 +69,9 @@
 		String key = shared.isEmpty() ? "" : shared.get(shared.size() - 1).id();
 		PlacementGroup group = PlacementGroup.select(PlacementGroup.of(request.service(), engines), key);
 		PlacementTicket ticket = new PlacementTicket(this,
-				new PlacementMessages.Ask(++this.lastNumber, group, request.prompt(), request.targetLeftMs(),
-						request.deadlineLeftMs(), request.priority(), request.excludedEngines()),
+				new PlacementMessages.Ask(++this.lastNumber, group, request.prompt(),
+						request.targetLeftMs() - this.delay.singleMs(), request.deadlineLeftMs(), request.priority(),
+						this.delay.splitExtraMs(), request.excludedEngines()),
 				this.timers.nowMs(), listener);
 		this.tickets.put(ticket.ask().number(), ticket);
 		listener.onAsked(ticket);
@@ -92,7 +95,7 @@
 		this.peers.send(coordinator.get(), MessageType.PLACEMENT_REQUEST,
 				PlacementMessages.encode(new PlacementMessages.Ask(ask.number(), ask.group(), ask.prompt(),
 						ask.targetLeftMs() - elapsedMs, ask.deadlineLeftMs() - elapsedMs, ask.priority(),
-						ask.excludedEngines())));
+						ask.splitExtraMs(), ask.excludedEngines())));
 	}
 
 	private void onNoReply(PlacementTicket ticket) {
@@ -135,6 +138,14 @@
 		ticket.decide(decision);
 	}
 
+	void onFirstEvent(PlacementDecision.Assigned assigned, long elapsedMs) {
+		this.delay.onFirstEvent(assigned.decodeEngineId().isPresent(), elapsedMs - assigned.expectedMs());
+	}
+
+	long nowMs() {
+		return this.timers.nowMs();
+	}
+
 	void forget(PlacementTicket ticket) {
 		this.tickets.remove(ticket.ask().number());
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementMessages.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementMessages.java
@@ -39,7 +39,7 @@
 	/** The sender does not act as coordinator, for example because it shuts down. */
 	private static final int UNAVAILABLE = 5;
 
-	private static final int REQUEST_FIELDS = 10;
+	private static final int REQUEST_FIELDS = 11;
 
 	private static final int REPLY_FIELDS = 2;
 
@@ -57,7 +57,8 @@
 			.add(ask.prompt().maxOutputTokens())
 			.add(ask.targetLeftMs())
 			.add(ask.deadlineLeftMs())
-			.add(ask.priority());
+			.add(ask.priority())
+			.add(ask.splitExtraMs());
 		ArrayNode parts = root.addArray();
 		ask.prompt().parts().forEach((part) -> parts.add(part.id()).add(part.tokens()));
 		ArrayNode excluded = root.addArray();
@@ -67,16 +68,17 @@
 
 	static Optional<Ask> decodeAsk(byte[] payload) {
 		return read(payload, REQUEST_FIELDS).map((root) -> {
-			JsonNode parts = root.path(8);
+			JsonNode parts = root.path(9);
 			List<PromptPart> promptParts = java.util.stream.IntStream.range(0, parts.size() / 2)
 				.mapToObj((index) -> new PromptPart(parts.path(2 * index).asText(),
 						Math.max(0, parts.path(2 * index + 1).asInt())))
 				.toList();
 			Set<String> excluded = new HashSet<>();
-			root.path(9).forEach((id) -> excluded.add(id.asText()));
+			root.path(10).forEach((id) -> excluded.add(id.asText()));
 			return new Ask(root.path(0).asLong(), new PlacementGroup(root.path(1).asText(), root.path(2).asInt()),
 					new PromptShape(Math.max(0, root.path(3).asInt()), Math.max(0, root.path(4).asInt()), promptParts),
-					root.path(5).asLong(), root.path(6).asLong(), root.path(7).asInt(), excluded);
+					root.path(5).asLong(), root.path(6).asLong(), root.path(7).asInt(),
+					Math.max(0, root.path(8).asLong()), excluded);
 		});
 	}
 
@@ -90,7 +92,8 @@
 				.add(assigned.engineId())
 				.add(assigned.decodeEngineId().orElse(""))
 				.add(assigned.uncachedTokens())
-				.add(assigned.late());
+				.add(assigned.late())
+				.add(assigned.expectedMs());
 		}
 		else if (decision.get() instanceof PlacementDecision.Refused refused) {
 			root.add(REFUSED).add(refused.retryAfterMs());
@@ -109,7 +112,7 @@
 		return switch (root.path(1).asInt()) {
 			case ASSIGNED -> Optional.of(new PlacementDecision.Assigned(root.path(2).asText(),
 					Optional.of(root.path(3).asText()).filter((id) -> !id.isEmpty()), Math.max(0, root.path(4).asInt()),
-					root.path(5).asBoolean()));
+					root.path(5).asBoolean(), Math.max(0, root.path(6).asLong())));
 			case QUEUED -> Optional.of(new PlacementDecision.Queued());
 			case REFUSED -> Optional.of(new PlacementDecision.Refused(Math.max(0, root.path(2).asLong())));
 			case NO_ENGINE -> Optional.of(new PlacementDecision.NoEngine());
@@ -185,10 +188,12 @@
 	 * @param targetLeftMs time left until the target of the first event, in ms
 	 * @param deadlineLeftMs time left until the client stops waiting, in ms
 	 * @param priority priority class; 0 is the most urgent
+	 * @param splitExtraMs time that the gateway needs in addition for a second send, in
+	 * ms
 	 * @param excludedEngines ids of engines that earlier attempts were sent to
 	 */
 	record Ask(long number, PlacementGroup group, PromptShape prompt, long targetLeftMs, long deadlineLeftMs,
-			int priority, Set<String> excludedEngines) {
+			int priority, long splitExtraMs, Set<String> excludedEngines) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementService.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementService.java
@@ -85,7 +85,7 @@
 			group.refreshEngines(nowMs);
 			Optional<PlacementDecision> decision = group.coordinator()
 				.onRequest(new PlacementRequest(new RequestKey(peerName, ask.number()), ask.prompt(),
-						nowMs + ask.targetLeftMs(), nowMs + ask.deadlineLeftMs(), ask.priority(),
+						nowMs + ask.targetLeftMs(), nowMs + ask.deadlineLeftMs(), ask.priority(), ask.splitExtraMs(),
 						ask.excludedEngines()), nowMs);
 			this.meters
 				.counter("anvilusher.placement.decisions", "decision",
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementTicket.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementTicket.java
@@ -40,6 +40,10 @@
 
 	private boolean prefilled;
 
+	private Optional<PlacementDecision.Assigned> assigned = Optional.empty();
+
+	private long assignedAtMs;
+
 	PlacementTicket(PlacementClient client, PlacementMessages.Ask ask, long askedAtMs, Listener listener) {
 		this.client = client;
 		this.ask = ask;
@@ -75,8 +79,10 @@
 	void decide(Optional<PlacementDecision> decision) {
 		this.decided = true;
 		this.cancelTimer.run();
-		if (decision.isPresent() && decision.get() instanceof PlacementDecision.Assigned assigned) {
-			this.listener.onAssigned(assigned);
+		if (decision.isPresent() && decision.get() instanceof PlacementDecision.Assigned placed) {
+			this.assigned = Optional.of(placed);
+			this.assignedAtMs = this.client.nowMs();
+			this.listener.onAssigned(placed);
 			return;
 		}
 		this.ended = true;
@@ -111,6 +117,13 @@
 		}
 	}
 
+	/**
+	 * Records that the first event has arrived.
+	 */
+	public void onFirstEvent() {
+		this.assigned.ifPresent((placed) -> this.client.onFirstEvent(placed, this.client.nowMs() - this.assignedAtMs));
+	}
+
 	/**
 	 * Reports that an engine did not run the request and ends the ticket.
 	 * @param engineId id of the engine
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -652,6 +652,9 @@
 		if (first) {
 			this.firstResultMs = nowMs - this.input.arrivedAtMs();
 			attempt.onFirstResult();
+			if (this.ticket != null) {
+				this.ticket.onFirstEvent();
+			}
 		}
 		else {
 			this.longestPauseMs = Math.max(this.longestPauseMs, nowMs - this.lastEventAtMs);
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineQueue.java
@@ -166,7 +166,7 @@
 		 * client, beside the work itself: the way of the reply, the request and the
 		 * event.
 		 */
-		static final double DELIVERY_MS = 20;
+		static final double DELIVERY_MS = 30;
 
 		boolean isOnTime(double workMs, long nowMs) {
 			return nowMs + workMs + DELIVERY_MS <= this.request.targetAtMs();
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -208,7 +208,7 @@
 	}
 
 	private PlacementDecision placeLongPrompt(PlacementRequest request, List<EngineLedger> usable, long nowMs) {
-		List<Candidate> candidates = candidates(request.prompt(), usable, nowMs);
+		List<Candidate> candidates = candidates(request, usable, nowMs);
 		Candidate best = candidates.stream().min(Comparator.comparingDouble(Candidate::costMs)).orElseThrow();
 		QueuedRequest queued = new QueuedRequest(request, nowMs, best.uncachedTokens());
 		if (best.engine().queue().size() == 0 && hasRoom(best.engine(), nowMs)) {
@@ -229,8 +229,8 @@
 		return decision;
 	}
 
-	private List<Candidate> candidates(PromptShape prompt, List<EngineLedger> usable, long nowMs) {
-		List<EngineLedger> considered = usable;
+	private List<Candidate> candidates(PlacementRequest request, List<EngineLedger> considered, long nowMs) {
+		PromptShape prompt = request.prompt();
 		List<PromptPart> shared = prompt.sharedParts();
 		String key = shared.get(shared.size() - 1).id();
 		boolean known = considered.stream().anyMatch((engine) -> engine.cachedParts().holds(key));
@@ -246,15 +246,16 @@
 		}
 		int fewest = uncached.values().stream().mapToInt(Integer::intValue).min().orElse(1);
 		return considered.stream()
-			.map((engine) -> candidate(engine, uncached.get(engine), fewest, nowMs))
+			.map((engine) -> candidate(engine, uncached.get(engine), fewest, request.splitExtraMs(), nowMs))
 			.flatMap(Optional::stream)
 			.toList();
 	}
 
-	private Optional<Candidate> candidate(EngineLedger engine, int uncachedTokens, int fewestTokens, long nowMs) {
+	private Optional<Candidate> candidate(EngineLedger engine, int uncachedTokens, int fewestTokens, long splitExtraMs,
+			long nowMs) {
 		double workMs = engine.workMs(uncachedTokens);
 		double queuedMs = engine.queue().workMs((queued) -> engine.workMs(queued.uncachedTokens()), true);
-		double endMs = engine.backlogMs(nowMs) + queuedMs + workMs + (engine.isPrefill() ? SPLIT_MS : 0);
+		double endMs = engine.backlogMs(nowMs) + queuedMs + workMs + (engine.isPrefill() ? SPLIT_MS + splitExtraMs : 0);
 		double repeatedMs = REPEATED_WORK_WEIGHT * engine.workMs(uncachedTokens - fewestTokens);
 		double streamsMs = 0;
 		if (engine.streams() > 0) {
@@ -290,12 +291,13 @@
 
 	private PlacementDecision assign(PlacementRequest request, EngineLedger engine, Optional<EngineLedger> decode,
 			int uncachedTokens, long nowMs) {
-		boolean late = nowMs + engine.backlogMs(nowMs) + engine.workMs(uncachedTokens)
-				+ QueuedRequest.DELIVERY_MS > request.targetAtMs();
+		double expectedMs = EngineLedger.MESSAGE_MS + engine.backlogMs(nowMs) + engine.workMs(uncachedTokens)
+				+ (decode.isPresent() ? SPLIT_MS : 0);
+		boolean late = nowMs + expectedMs > request.targetAtMs();
 		engine.assign(request, uncachedTokens, nowMs);
 		decode.ifPresent((target) -> target.assignDecode(request, nowMs));
 		PlacementDecision decision = new PlacementDecision.Assigned(engine.id(), decode.map(EngineLedger::id),
-				uncachedTokens, late);
+				uncachedTokens, late, (long) expectedMs);
 		this.requests.put(request.key(), new PlacedRequest(engine, decode, decision, uncachedTokens));
 		return decision;
 	}
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementDecision.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementDecision.java
@@ -16,9 +16,10 @@
 	 * @param uncachedTokens prompt tokens that are expected not to be cached
 	 * @param late whether the first event can no longer be on time, so that requests that
 	 * can be are to go first at the engine
+	 * @param expectedMs expected time from now until the first event, in ms
 	 */
-	record Assigned(String engineId, Optional<String> decodeEngineId, int uncachedTokens,
-			boolean late) implements PlacementDecision {
+	record Assigned(String engineId, Optional<String> decodeEngineId, int uncachedTokens, boolean late,
+			long expectedMs) implements PlacementDecision {
 
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementRequest.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementRequest.java
@@ -14,10 +14,12 @@
  * monotonic clock
  * @param deadlineAtMs time at which the client stops waiting, by the same clock
  * @param priority priority class; 0 is the most urgent
+ * @param splitExtraMs time that the gateway needs in addition if it sends the request to
+ * two engines, in ms
  * @param excludedEngines ids of engines that earlier attempts were sent to
  */
 public record PlacementRequest(RequestKey key, PromptShape prompt, long targetAtMs, long deadlineAtMs, int priority,
-		Set<String> excludedEngines) {
+		long splitExtraMs, Set<String> excludedEngines) {
 
 	public PlacementRequest {
 		excludedEngines = Set.copyOf(excludedEngines);
