Streams keep to fast engines while long prompts occupy their slots

During a load peak, long prompts occupied all slots of the fast engines for about 100 ms each, and half of the streams were placed on slow engines for seconds. The number of streams alone now decides; a slot becomes free within a few steps.

--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -193,7 +193,7 @@
 		Comparator<EngineLedger> order = streamOrder();
 		List<EngineLedger> decoding = usable.stream().filter((engine) -> !engine.isPrefill()).sorted(order).toList();
 		EngineLedger engine = decoding.stream()
-			.filter((candidate) -> candidate.streamLoad() + 1e-9 < MAX_STREAM_LOAD && candidate.hasSlot())
+			.filter((candidate) -> candidate.streamLoad() + 1e-9 < MAX_STREAM_LOAD)
 			.findFirst()
 			.or(() -> decoding.stream()
 				.min(Comparator.comparingDouble(EngineLedger::streamLoad)
