--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -211,6 +211,10 @@
 		List<Candidate> candidates = candidates(request.prompt(), usable, nowMs);
 		Candidate best = candidates.stream().min(Comparator.comparingDouble(Candidate::costMs)).orElseThrow();
 		QueuedRequest queued = new QueuedRequest(request, nowMs, best.uncachedTokens());
+		if (!queued.meetsDeadline(best.engine().backlogMs(nowMs) + best.engine().workMs(best.uncachedTokens()),
+				nowMs)) {
+			return refused(nowMs);
+		}
 		if (best.engine().queue().size() == 0 && hasRoom(best.engine(), nowMs)) {
 			return send(queued, best.engine(), nowMs);
 		}
