Forget requests at restarted engines whose end was not reported

A restarted engine gets a new ledger, and only the requests in current ledgers expired. The others stayed until the limit of remembered requests was reached.

--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -330,6 +330,11 @@
 				.flatMap((engine) -> engine.expire(nowMs).stream())
 				.toList()
 				.forEach(this.requests::remove);
+			// A restarted engine has a new ledger, without the requests of the old one.
+			this.requests.values().removeIf((placed) -> {
+				EngineLedger last = placed.decode().orElse(placed.engine());
+				return last != this.engines.get(last.id());
+			});
 		}
 		this.engines.values().stream().filter((engine) -> engine.queue().size() > 0).forEach((engine) -> {
 			engine.queue()
