--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -361,6 +361,14 @@
 		return this.engines.values().stream().anyMatch((engine) -> engine.queue().size() > 0);
 	}
 
+	int rememberedRequests() {
+		return this.requests.size();
+	}
+
+	int occupiedSlots() {
+		return this.engines.values().stream().mapToInt(EngineLedger::occupiedSlots).sum();
+	}
+
 	/**
 	 * Records a report about a request.
 	 * @param key identifies the request
