--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -711,6 +711,38 @@
 		this.response.send(head.status(), head.callerHeaders(), body);
 	}
 
+	private RefusalReason noServerReason() {
+		return this.dispatcher.noServerReason(this.input.service());
+	}
+
+	private void finish(String outcome, int status) {
+		this.done = true;
+		this.dispatcher.forget(this);
+		this.cancelTimeout.run();
+		freeUnfetchedKvCache();
+		recordEnd(outcome, status);
+	}
+
+	private void recordEnd(String outcome, int status) {
+		long nowMs = this.dispatcher.nowMs();
+		this.dispatcher.recordEnd(this.input.service(), status, this.firstResultMs, nowMs - this.input.arrivedAtMs());
+		LOGGER.atInfo()
+			.addKeyValue("request_id", this.input.head().attemptId())
+			.addKeyValue("route", this.input.route().name())
+			.addKeyValue("service", this.input.service())
+			.addKeyValue("workspace", this.input.workspace().orElse(""))
+			.addKeyValue("table_version", this.input.tableVersion())
+			.addKeyValue("server", (this.currentAttempt != null) ? this.currentAttempt.serverId() : "")
+			.addKeyValue("sends", this.sends)
+			.addKeyValue("status", status)
+			.addKeyValue("first_result_ms", this.firstResultMs)
+			.addKeyValue("events", this.eventSplitter.events())
+			.addKeyValue("longest_pause_ms", this.longestPauseMs)
+			.addKeyValue("total_ms", nowMs - this.input.arrivedAtMs())
+			.addKeyValue("outcome", outcome)
+			.log("Request ended");
+	}
+
 	private final class TicketListener implements PlacementTicket.Listener {
 
 		@Override
@@ -744,36 +776,4 @@
 
 	}
 
-	private RefusalReason noServerReason() {
-		return this.dispatcher.noServerReason(this.input.service());
-	}
-
-	private void finish(String outcome, int status) {
-		this.done = true;
-		this.dispatcher.forget(this);
-		this.cancelTimeout.run();
-		freeUnfetchedKvCache();
-		recordEnd(outcome, status);
-	}
-
-	private void recordEnd(String outcome, int status) {
-		long nowMs = this.dispatcher.nowMs();
-		this.dispatcher.recordEnd(this.input.service(), status, this.firstResultMs, nowMs - this.input.arrivedAtMs());
-		LOGGER.atInfo()
-			.addKeyValue("request_id", this.input.head().attemptId())
-			.addKeyValue("route", this.input.route().name())
-			.addKeyValue("service", this.input.service())
-			.addKeyValue("workspace", this.input.workspace().orElse(""))
-			.addKeyValue("table_version", this.input.tableVersion())
-			.addKeyValue("server", (this.currentAttempt != null) ? this.currentAttempt.serverId() : "")
-			.addKeyValue("sends", this.sends)
-			.addKeyValue("status", status)
-			.addKeyValue("first_result_ms", this.firstResultMs)
-			.addKeyValue("events", this.eventSplitter.events())
-			.addKeyValue("longest_pause_ms", this.longestPauseMs)
-			.addKeyValue("total_ms", nowMs - this.input.arrivedAtMs())
-			.addKeyValue("outcome", outcome)
-			.log("Request ended");
-	}
-
 }
