Do not count a prompt too large for a datagram as a missing reply

Clients choose the ids of prompt parts. Two prompts with long ids made a gateway suspend the coordinator for a second, although it had been sent nothing. Such a prompt is placed by its gateway at once, with the outcome too_large.

--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
@@ -9,6 +9,7 @@
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.gateway.peer.MessageType;
 import io.anvilusher.gateway.peer.PeerChannel;
+import io.anvilusher.gateway.peer.PeerDatagram;
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.model.request.PromptPart;
 import io.anvilusher.model.request.PromptShape;
@@ -87,12 +88,18 @@
 		}
 		long elapsedMs = nowMs - ticket.askedAtMs();
 		PlacementMessages.Ask ask = ticket.ask();
+		byte[] payload = PlacementMessages
+			.encode(new PlacementMessages.Ask(ask.number(), ask.group(), ask.prompt(), ask.targetLeftMs() - elapsedMs,
+					ask.deadlineLeftMs() - elapsedMs, ask.priority(), ask.excludedEngines()));
+		// Clients choose the ids of prompt parts. A request that is never sent must not
+		// count as a missing reply.
+		if (payload.length > PeerDatagram.maxPayloadBytes(this.peers.self())) {
+			decide(ticket, Optional.empty(), "too_large");
+			return;
+		}
 		ticket.onAsked(coordinator.get());
 		ticket.replaceTimer(this.timers.schedule(REPLY_TIMEOUT_MS, () -> onNoReply(ticket)));
-		this.peers.send(coordinator.get(), MessageType.PLACEMENT_REQUEST,
-				PlacementMessages.encode(new PlacementMessages.Ask(ask.number(), ask.group(), ask.prompt(),
-						ask.targetLeftMs() - elapsedMs, ask.deadlineLeftMs() - elapsedMs, ask.priority(),
-						ask.excludedEngines())));
+		this.peers.send(coordinator.get(), MessageType.PLACEMENT_REQUEST, payload);
 	}
 
 	private void onNoReply(PlacementTicket ticket) {
