--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
@@ -114,27 +114,31 @@
 	}
 
 	private void onReply(String peerName, byte[] payload) {
-		PlacementMessages.decodeReply(payload).ifPresent((reply) -> {
-			this.selector.onReply(peerName);
-			PlacementTicket ticket = this.tickets.get(reply.number());
-			if (ticket == null || !ticket.isWaiting() || !ticket.coordinator().equals(peerName)) {
-				return;
-			}
-			if (reply.decision().isEmpty()) {
-				this.selector.onUnavailable(peerName, this.timers.nowMs());
-				decide(ticket, Optional.empty(), "unavailable");
-			}
-			else if (reply.decision().get() instanceof PlacementDecision.Queued) {
-				ticket.replaceTimer(this.timers.schedule(REPEAT_INTERVAL_MS, () -> {
-					if (ticket.isWaiting()) {
-						send(ticket);
-					}
-				}));
-			}
-			else {
-				decide(ticket, reply.decision(), "decided");
-			}
-		});
+		PlacementMessages.decodeReply(payload)
+			.ifPresentOrElse((reply) -> onReply(peerName, reply),
+					() -> this.meters.counter("anvilusher.placement.malformed", "type", "reply").increment());
+	}
+
+	private void onReply(String peerName, PlacementMessages.Reply reply) {
+		this.selector.onReply(peerName);
+		PlacementTicket ticket = this.tickets.get(reply.number());
+		if (ticket == null || !ticket.isWaiting() || !ticket.coordinator().equals(peerName)) {
+			return;
+		}
+		if (reply.decision().isEmpty()) {
+			this.selector.onUnavailable(peerName, this.timers.nowMs());
+			decide(ticket, Optional.empty(), "unavailable");
+		}
+		else if (reply.decision().get() instanceof PlacementDecision.Queued) {
+			ticket.replaceTimer(this.timers.schedule(REPEAT_INTERVAL_MS, () -> {
+				if (ticket.isWaiting()) {
+					send(ticket);
+				}
+			}));
+		}
+		else {
+			decide(ticket, reply.decision(), "decided");
+		}
 	}
 
 	private void decide(PlacementTicket ticket, Optional<PlacementDecision> decision, String outcome) {
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementService.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementService.java
@@ -75,33 +75,44 @@
 	}
 
 	private void onRequest(String peerName, byte[] payload) {
-		PlacementMessages.decodeAsk(payload).ifPresent((ask) -> {
-			if (this.draining) {
-				reply(peerName, ask.number(), Optional.empty());
-				return;
-			}
-			long nowMs = this.timers.nowMs();
-			CoordinatedGroup group = group(ask.group());
-			group.refreshEngines(nowMs);
-			Optional<PlacementDecision> decision = group.coordinator()
-				.onRequest(new PlacementRequest(new RequestKey(peerName, ask.number()), ask.prompt(),
-						nowMs + ask.targetLeftMs(), nowMs + ask.deadlineLeftMs(), ask.priority(),
-						ask.excludedEngines()), nowMs);
-			this.meters
-				.counter("anvilusher.placement.decisions", "decision",
-						decision.map((made) -> made.getClass().getSimpleName()).orElse("None"))
-				.increment();
-			reply(peerName, ask.number(), decision);
-			group.scheduleDispatch();
-		});
+		PlacementMessages.decodeAsk(payload)
+			.ifPresentOrElse((ask) -> onAsk(peerName, ask), () -> countMalformed("request"));
+	}
+
+	private void countMalformed(String type) {
+		this.meters.counter("anvilusher.placement.malformed", "type", type).increment();
+	}
+
+	private void onAsk(String peerName, PlacementMessages.Ask ask) {
+		if (this.draining) {
+			reply(peerName, ask.number(), Optional.empty());
+			return;
+		}
+		long nowMs = this.timers.nowMs();
+		CoordinatedGroup group = group(ask.group());
+		group.refreshEngines(nowMs);
+		Optional<PlacementDecision> decision = group.coordinator()
+			.onRequest(new PlacementRequest(new RequestKey(peerName, ask.number()), ask.prompt(),
+					nowMs + ask.targetLeftMs(), nowMs + ask.deadlineLeftMs(), ask.priority(), ask.excludedEngines()),
+					nowMs);
+		this.meters
+			.counter("anvilusher.placement.decisions", "decision",
+					decision.map((made) -> made.getClass().getSimpleName()).orElse("None"))
+			.increment();
+		reply(peerName, ask.number(), decision);
+		group.scheduleDispatch();
 	}
 
 	private void onEnd(String peerName, byte[] payload) {
 		PlacementMessages.decodeEnd(payload)
-			.ifPresent((end) -> Optional.ofNullable(this.groups.get(end.group())).ifPresent((group) -> {
-				group.coordinator().onReport(new RequestKey(peerName, end.number()), end.report(), this.timers.nowMs());
-				group.dispatch();
-			}));
+			.ifPresentOrElse((end) -> onEnd(peerName, end), () -> countMalformed("end"));
+	}
+
+	private void onEnd(String peerName, PlacementMessages.End end) {
+		Optional.ofNullable(this.groups.get(end.group())).ifPresent((group) -> {
+			group.coordinator().onReport(new RequestKey(peerName, end.number()), end.report(), this.timers.nowMs());
+			group.dispatch();
+		});
 	}
 
 	private void reply(String peerName, long number, Optional<PlacementDecision> decision) {
--- a/gateway/src/test/java/io/anvilusher/gateway/placement/PlacementClientTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/placement/PlacementClientTests.java
@@ -205,6 +205,19 @@
 		assertEquals(decisions.log(), List.of("assigned"));
 	}
 
+	/** Guards against malformed messages that no metric shows. */
+	@Test
+	public void malformedMessagesAreCounted() {
+		PeerChannel sender = this.network.join("d");
+		sender.send("b", MessageType.PLACEMENT_REQUEST, new byte[0]);
+		sender.send("b", MessageType.PLACEMENT_END, new byte[0]);
+		sender.send("a", MessageType.PLACEMENT_REPLY, new byte[0]);
+		this.timers.advance(ROUND_TRIP_MS);
+		Stream.of("request", "end", "reply")
+			.forEach((type) -> assertEquals(this.meters.counter("anvilusher.placement.malformed", "type", type).count(),
+					1.0));
+	}
+
 	/** Guards against tickets that stay after their requests have ended. */
 	@Test
 	public void ticketThatEndedBeforeItsDecisionIsNotToldOne() {
