--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementMessages.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementMessages.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.IntStream;
 import java.util.stream.StreamSupport;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -68,7 +69,7 @@
 	static Optional<Ask> decodeAsk(byte[] payload) {
 		return read(payload, REQUEST_FIELDS).map((root) -> {
 			JsonNode parts = root.path(8);
-			List<PromptPart> promptParts = java.util.stream.IntStream.range(0, parts.size() / 2)
+			List<PromptPart> promptParts = IntStream.range(0, parts.size() / 2)
 				.mapToObj((index) -> new PromptPart(parts.path(2 * index).asText(),
 						Math.max(0, parts.path(2 * index + 1).asInt())))
 				.toList();
--- a/gateway/src/main/java/io/anvilusher/gateway/request/CoordinatedPlacement.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/CoordinatedPlacement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 import io.anvilusher.gateway.fleet.ServerRegistry;
@@ -38,7 +39,7 @@
 
 	private final Supplier<Optional<RouteIndex>> routes;
 
-	private final java.util.function.LongSupplier nowMs;
+	private final LongSupplier nowMs;
 
 	private final Set<String> relativeTimeServices = new HashSet<>();
 
@@ -55,7 +56,7 @@
 	 * @param nowMs returns the current time of the monotonic clock, in ms
 	 */
 	public CoordinatedPlacement(PlacementClient client, ManagedPeerChannel peers, ServerRegistry serverRegistry,
-			Supplier<Optional<RouteIndex>> routes, java.util.function.LongSupplier nowMs) {
+			Supplier<Optional<RouteIndex>> routes, LongSupplier nowMs) {
 		this.client = client;
 		this.peers = peers;
 		this.serverRegistry = serverRegistry;
--- a/gateway/src/test/java/io/anvilusher/gateway/placement/PlacementClientTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/placement/PlacementClientTests.java
@@ -82,6 +82,25 @@
 		assertEquals(decisions.log(), List.of("not coordinated"));
 	}
 
+	/**
+	 * Guards against a request that its gateway placed itself and that still occupies the
+	 * coordinator's record of the engine, so that others wait.
+	 */
+	@Test
+	public void requestWhoseReplyIsLostIsCancelledAtTheCoordinator() {
+		for (int count = 0; count < 20; count++) {
+			ask();
+			this.timers.advance(1);
+			this.network.setReachable("a", false);
+			this.timers.advance(1);
+			this.network.setReachable("a", true);
+			this.timers.advance(PlacementClient.REPLY_TIMEOUT_MS + CoordinatorSelector.SUSPENSION_MS);
+		}
+		Decisions decisions = ask();
+		this.timers.advance(ROUND_TRIP_MS);
+		assertEquals(decisions.log(), List.of("assigned"));
+	}
+
 	/** Guards against a late reply that makes a gateway send a request twice. */
 	@Test
 	public void replyAfterTheTimeoutHasNoEffect() {
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineLedger.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineLedger.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 import io.anvilusher.logic.placement.GenerationLimit;
 import io.anvilusher.model.fleet.EngineRole;
@@ -220,7 +221,7 @@
 	 * @return the requests
 	 */
 	List<RequestKey> expire(long nowMs) {
-		List<RequestKey> expired = java.util.stream.Stream.of(this.prefills, this.generations)
+		List<RequestKey> expired = Stream.of(this.prefills, this.generations)
 			.flatMap((assignments) -> assignments.entrySet().stream())
 			.filter((entry) -> nowMs > entry.getValue().request().deadlineAtMs())
 			.map(Map.Entry::getKey)
--- a/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplay.java
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.DoubleConsumer;
 import java.util.function.DoubleUnaryOperator;
 import java.util.stream.IntStream;
 
@@ -234,7 +235,7 @@
 		});
 	}
 
-	private void later(double atMs, java.util.function.DoubleConsumer action) {
+	private void later(double atMs, DoubleConsumer action) {
 		this.events.add(new Event(atMs, () -> action.accept(atMs)));
 	}
 
