--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
@@ -9,6 +9,7 @@
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.gateway.peer.MessageType;
 import io.anvilusher.gateway.peer.PeerChannel;
+import io.anvilusher.gateway.peer.PeerDatagram;
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.model.request.PromptPart;
 import io.anvilusher.model.request.PromptShape;
@@ -90,12 +91,18 @@
 		}
 		long elapsedMs = nowMs - ticket.askedAtMs();
 		PlacementMessages.Ask ask = ticket.ask();
+		byte[] payload = PlacementMessages
+			.encode(new PlacementMessages.Ask(ask.number(), ask.group(), ask.prompt(), ask.targetLeftMs() - elapsedMs,
+					ask.deadlineLeftMs() - elapsedMs, ask.priority(), ask.splitExtraMs(), ask.excludedEngines()));
+		// Clients choose the ids of prompt parts. A request that is never sent must not
+		// count as a missing reply.
+		if (payload.length > PeerDatagram.maxPayloadBytes(this.peers.self())) {
+			decide(ticket, Optional.empty(), "too_large");
+			return;
+		}
 		ticket.onAsked(coordinator.get());
 		ticket.replaceTimer(this.timers.schedule(REPLY_TIMEOUT_MS, () -> onNoReply(ticket)));
-		this.peers.send(coordinator.get(), MessageType.PLACEMENT_REQUEST,
-				PlacementMessages.encode(new PlacementMessages.Ask(ask.number(), ask.group(), ask.prompt(),
-						ask.targetLeftMs() - elapsedMs, ask.deadlineLeftMs() - elapsedMs, ask.priority(),
-						ask.splitExtraMs(), ask.excludedEngines())));
+		this.peers.send(coordinator.get(), MessageType.PLACEMENT_REQUEST, payload);
 	}
 
 	private void onNoReply(PlacementTicket ticket) {
@@ -110,27 +117,31 @@
 	}
 
 	private void onReply(String peerName, byte[] payload) {
-		PlacementMessages.decodeReply(payload).ifPresent((reply) -> {
-			this.selector.onReply(peerName);
-			PlacementTicket ticket = this.tickets.get(reply.number());
-			if (ticket == null || !ticket.isWaiting() || !ticket.coordinator().equals(peerName)) {
-				return;
-			}
-			if (reply.decision().isEmpty()) {
-				this.selector.onUnavailable(peerName, this.timers.nowMs());
-				decide(ticket, Optional.empty(), "unavailable");
-			}
-			else if (reply.decision().get() instanceof PlacementDecision.Queued) {
-				ticket.replaceTimer(this.timers.schedule(REPEAT_INTERVAL_MS, () -> {
-					if (ticket.isWaiting()) {
-						send(ticket);
-					}
-				}));
-			}
-			else {
-				decide(ticket, reply.decision(), "decided");
-			}
-		});
+		PlacementMessages.decodeReply(payload)
+			.ifPresentOrElse((reply) -> onReply(peerName, reply),
+					() -> this.meters.counter("anvilusher.placement.malformed", "type", "reply").increment());
+	}
+
+	private void onReply(String peerName, PlacementMessages.Reply reply) {
+		this.selector.onReply(peerName);
+		PlacementTicket ticket = this.tickets.get(reply.number());
+		if (ticket == null || !ticket.isWaiting() || !ticket.coordinator().equals(peerName)) {
+			return;
+		}
+		if (reply.decision().isEmpty()) {
+			this.selector.onUnavailable(peerName, this.timers.nowMs());
+			decide(ticket, Optional.empty(), "unavailable");
+		}
+		else if (reply.decision().get() instanceof PlacementDecision.Queued) {
+			ticket.replaceTimer(this.timers.schedule(REPEAT_INTERVAL_MS, () -> {
+				if (ticket.isWaiting()) {
+					send(ticket);
+				}
+			}));
+		}
+		else {
+			decide(ticket, reply.decision(), "decided");
+		}
 	}
 
 	private void decide(PlacementTicket ticket, Optional<PlacementDecision> decision, String outcome) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -193,7 +193,7 @@
 		Comparator<EngineLedger> order = streamOrder();
 		List<EngineLedger> decoding = usable.stream().filter((engine) -> !engine.isPrefill()).sorted(order).toList();
 		EngineLedger engine = decoding.stream()
-			.filter((candidate) -> candidate.streamLoad() + 1e-9 < MAX_STREAM_LOAD && candidate.hasSlot())
+			.filter((candidate) -> candidate.streamLoad() + 1e-9 < MAX_STREAM_LOAD)
 			.findFirst()
 			.or(() -> decoding.stream()
 				.min(Comparator.comparingDouble(EngineLedger::streamLoad)
@@ -211,6 +211,10 @@
 		List<Candidate> candidates = candidates(request, usable, nowMs);
 		Candidate best = candidates.stream().min(Comparator.comparingDouble(Candidate::costMs)).orElseThrow();
 		QueuedRequest queued = new QueuedRequest(request, nowMs, best.uncachedTokens());
+		if (!queued.meetsDeadline(best.engine().backlogMs(nowMs) + best.engine().workMs(best.uncachedTokens()),
+				nowMs)) {
+			return refused(nowMs);
+		}
 		if (best.engine().queue().size() == 0 && hasRoom(best.engine(), nowMs)) {
 			return send(queued, best.engine(), nowMs);
 		}
@@ -328,6 +332,11 @@
 				.flatMap((engine) -> engine.expire(nowMs).stream())
 				.toList()
 				.forEach(this.requests::remove);
+			// A restarted engine has a new ledger, without the requests of the old one.
+			this.requests.values().removeIf((placed) -> {
+				EngineLedger last = placed.decode().orElse(placed.engine());
+				return last != this.engines.get(last.id());
+			});
 		}
 		this.engines.values().stream().filter((engine) -> engine.queue().size() > 0).forEach((engine) -> {
 			engine.queue()
@@ -354,6 +363,14 @@
 		return this.engines.values().stream().anyMatch((engine) -> engine.queue().size() > 0);
 	}
 
+	int rememberedRequests() {
+		return this.requests.size();
+	}
+
+	int occupiedSlots() {
+		return this.engines.values().stream().mapToInt(EngineLedger::occupiedSlots).sum();
+	}
+
 	/**
 	 * Records a report about a request.
 	 * @param key identifies the request
