--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -6,6 +6,7 @@
 
 import io.anvilusher.adapters.json.ObjectReader;
 import io.anvilusher.adapters.process.SocketAddresses;
+import io.anvilusher.logic.allowance.AllowanceTerms;
 
 /**
  * Settings of a gateway.
@@ -26,14 +27,22 @@
  * without renewal, in ms
  * @param drainMs time after which a draining server must get no new requests, in ms
  * @param catchUpMs time in ms until the newest state must be in use after an outage
+ * @param allowance terms of the usage limits of workspaces
  */
 public record GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties, long graceMs,
 		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs, long drainMs,
-		long catchUpMs) {
+		long catchUpMs, AllowanceTerms allowance) {
 
 	private static final long MAX_MS = 3_600_000;
 
+	private static final double MS_PER_S = 1_000;
+
+	private static final double MAX_OVERAGE = 100;
+
+	/** Larger than any use that a window counts. */
+	private static final double MAX_SLACK = 1e15;
+
 	/**
 	 * Reads the settings.
 	 * @param reader reads the object of the settings file and collects its errors
@@ -49,7 +58,16 @@
 				seconds(reader, "graceS"), reader.number("retryRatio", 0, 1, 0), seconds(reader, "retryWindowS"),
 				seconds(reader, "usageWindowS"), seconds(reader, "usageLateS"),
 				reader.wholeNumber("leaseMs", 1, MAX_MS, 3_000), reader.wholeNumber("drainMs", 1, MAX_MS, 2_000),
-				seconds(reader, "catchUpS"));
+				seconds(reader, "catchUpS"), readAllowance(reader));
+	}
+
+	private static AllowanceTerms readAllowance(ObjectReader reader) {
+		AllowanceTerms defaults = AllowanceTerms.DEFAULT;
+		return new AllowanceTerms(
+				(long) (reader.number("allowanceWindowS", 0.1, MAX_MS / MS_PER_S, defaults.windowMs() / MS_PER_S)
+						* MS_PER_S),
+				reader.number("allowanceOverage", 0, MAX_OVERAGE, defaults.overage()),
+				reader.number("allowanceSlack", 0, MAX_SLACK, defaults.slack()));
 	}
 
 	private static long seconds(ObjectReader reader, String field) {
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/RequestHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/RequestHead.java
@@ -13,8 +13,10 @@
  * request does not say
  * @param key the caller's key; empty if the request has none
  * @param prompt size and shared parts of the prompt; empty if the request has no prompt
+ * @param tokens sum of the token counts that the request states, bounded; empty if it
+ * states none
  */
 public record RequestHead(String attemptId, OptionalLong remainingMs, Optional<String> key,
-		Optional<PromptShape> prompt) {
+		Optional<PromptShape> prompt, OptionalLong tokens) {
 
 }
--- a/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/routing/RouteIndexTests.java
@@ -26,8 +26,10 @@
 	}
 
 	private final RouteIndex index = new RouteIndex(
-			new RoutingTable(1, List.of(route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/"),
-					route("other", "o.example", "/")), Map.of(), false, Map.of(), CallerLimits.DEFAULT));
+			new RoutingTable(1,
+					List.of(route("short", "h.example", "/a/"), route("long", "h.example", "/a/b/"),
+							route("other", "o.example", "/")),
+					Map.of(), false, Map.of(), CallerLimits.DEFAULT, Map.of()));
 
 	private Optional<String> find(String host, String path) {
 		return this.index.find(host, path).map(Route::name);
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -66,6 +66,9 @@
 	/** The workspace has reached its limit of concurrent requests. */
 	WORKSPACE_LIMIT(429, true),
 
+	/** The workspace has used up its allowance of the sliding window. */
+	ALLOWANCE_EXCEEDED(429, true),
+
 	/**
 	 * The request was running when several backend servers crashed and is not run again.
 	 */
--- a/model/src/main/java/io/anvilusher/model/routing/RoutingTable.java
+++ b/model/src/main/java/io/anvilusher/model/routing/RoutingTable.java
@@ -13,14 +13,17 @@
  * open to all. A table of which all keys were withdrawn still requires one.
  * @param workspaceByKey the workspaces by key
  * @param limits limits on requests from callers
+ * @param allowances the usage limits by workspace; a workspace without an entry is not
+ * limited
  */
 public record RoutingTable(long version, List<Route> routes, Map<String, ServiceProfile> services, boolean requiresKeys,
-		Map<String, String> workspaceByKey, CallerLimits limits) {
+		Map<String, String> workspaceByKey, CallerLimits limits, Map<String, WorkspaceLimit> allowances) {
 
 	public RoutingTable {
 		routes = List.copyOf(routes);
 		services = Map.copyOf(services);
 		workspaceByKey = Map.copyOf(workspaceByKey);
+		allowances = Map.copyOf(allowances);
 		if (!requiresKeys && !workspaceByKey.isEmpty()) {
 			throw new IllegalArgumentException(
 					"version " + version + " has " + workspaceByKey.size() + " keys, so it must require one");
