--- a/logic/src/main/java/io/anvilusher/logic/allowance/AllowanceAllocator.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/AllowanceAllocator.java
@@ -22,6 +22,9 @@
 	/** Silence after which a gateway's entry may be deleted from the list. */
 	private static final long LOST_MS = 30_000;
 
+	/** Bounds the messages that one report causes in a large deployment. */
+	private static final int MAX_TAKEN_BACK = 40;
+
 	private final AllowanceTerms terms;
 
 	private final long run;
@@ -174,6 +177,7 @@
 			.filter((member) -> member != shortMember && mayPush(member, nowMs))
 			.filter((member) -> shortOf.stream()
 				.anyMatch((workspace) -> this.divisions.get(workspace).hasSurplus(member.holding(workspace, nowMs))))
+			.limit(MAX_TAKEN_BACK)
 			.map((member) -> grant(member, nowMs))
 			.toList();
 	}
--- a/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
@@ -25,8 +25,11 @@
 	 */
 	private static final double DEMAND_PART = 0.6;
 
-	/** Differences below this part of the limit are not worth a message. */
-	private static final double TOLERANCE = 0.01;
+	/**
+	 * Part of the limit that all members together may hold above their targets while
+	 * another one is short of it. Smaller differences are not worth a message.
+	 */
+	private static final double TOLERANCE = 0.02;
 
 	Division replace(Holding before, Holding after) {
 		return new Division(this.capacity, this.pool, this.members, this.used - before.use() + after.use(),
@@ -65,7 +68,7 @@
 	}
 
 	long tolerance() {
-		return (long) (this.capacity * TOLERANCE);
+		return (long) (this.capacity * TOLERANCE / this.members);
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -27,7 +27,7 @@
 	public static final long GRANT_MS = 1_000;
 
 	/** Time over which demand is measured, in ms. */
-	public static final long DEMAND_WINDOW_MS = 500;
+	public static final long DEMAND_WINDOW_MS = 250;
 
 	/** Time for which an allocator counts the share of a gateway after its last echo. */
 	static final long MEMBER_MS = 1_000;
@@ -50,8 +50,11 @@
 	/** Number of gateways that is assumed while the list of gateways is not known. */
 	static final int ASSUMED_GATEWAYS = 100;
 
-	/** Time between urgent reports on a workspace for which there was no more room. */
-	private static final long EXHAUSTED_INTERVAL_MS = 100;
+	/**
+	 * Part of a limit by which a ceiling is lowered at least for an immediate report. The
+	 * allocator gives what it took away to others only after the report.
+	 */
+	private static final double ECHOED_PART = 0.01;
 
 	/** Retry-After while the room depends on the use of other gateways. */
 	private static final long DEFAULT_RETRY_MS = 1_000;
@@ -238,12 +241,13 @@
 		this.ceilingsUntilMs = answered.sentMs() + GRANT_MS;
 		for (GrantedCeiling granted : grant.ceilings()) {
 			WorkspaceUse use = this.uses.get(granted.workspace());
-			if (use != null) {
-				use.grant(granted.ceiling(), nowMs, EXHAUSTED_INTERVAL_MS);
+			WorkspaceLimit limit = this.limits.get(granted.workspace());
+			if (use != null && limit != null) {
+				this.reportNow |= use.ceiling() - granted.ceiling() > ECHOED_PART * this.terms.capacity(limit);
+				use.grant(granted.ceiling(), nowMs);
 			}
 		}
-		// The allocator gives what an unasked grant took away to others once it is
-		// echoed.
+		// An unasked grant takes something away for a gateway that is short of it.
 		if (answered.answered()) {
 			this.reportNow = true;
 		}
@@ -351,6 +355,11 @@
 		return (joined && !lapsed) ? this.terms.capacity(limit) / this.ranking.registered() : 0;
 	}
 
+	String describe(String w, long nowMs) {
+		WorkspaceUse use = this.uses.get(w);
+		return "valid " + (nowMs < this.ceilingsUntilMs) + " ceiling " + use.ceiling() + " counted " + use.counted(nowMs)+" lastReport "+(nowMs-this.lastReportMs)+" alloc "+this.allocator;
+	}
+
 	private long overdraft(WorkspaceLimit limit) {
 		int gateways = (this.ranking.registered() > 0) ? this.ranking.registered() : ASSUMED_GATEWAYS;
 		return (long) (this.terms.overdraft(limit) / gateways);
--- a/logic/src/main/java/io/anvilusher/logic/allowance/WorkspaceUse.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/WorkspaceUse.java
@@ -6,6 +6,8 @@
  */
 final class WorkspaceUse {
 
+	private static final long MAX_EXHAUSTED_WAIT_MS = 160;
+
 	private final SlidingUsage sent;
 
 	private final SlidingUsage demand = new SlidingUsage(LocalAllowance.DEMAND_WINDOW_MS);
@@ -23,6 +25,8 @@
 
 	private long exhaustedUntilMs = Long.MIN_VALUE;
 
+	private long exhaustedWaitMs;
+
 	WorkspaceUse(long windowMs) {
 		this.sent = new SlidingUsage(windowMs);
 	}
@@ -94,11 +98,22 @@
 		}
 	}
 
-	void grant(long newCeiling, long nowMs, long retryMs) {
-		this.ceiling = newCeiling;
-		if (newCeiling <= counted(nowMs)) {
-			this.exhaustedUntilMs = nowMs + retryMs;
+	/**
+	 * Sets the ceiling. Each further one without room doubles the time until the next
+	 * urgent report, so that an exhausted workspace does not cause a message per request.
+	 * @param newCeiling the ceiling
+	 * @param nowMs current time of the monotonic clock
+	 */
+	void grant(long newCeiling, long nowMs) {
+		if (newCeiling > counted(nowMs)) {
+			this.exhaustedWaitMs = 0;
 		}
+		else {
+			this.exhaustedWaitMs = Math.min(MAX_EXHAUSTED_WAIT_MS,
+					Math.max(LocalAllowance.URGENT_INTERVAL_MS, 2 * this.exhaustedWaitMs));
+			this.exhaustedUntilMs = nowMs + this.exhaustedWaitMs;
+		}
+		this.ceiling = newCeiling;
 	}
 
 	/**
