Usage limits of workspaces on the request path, divided by messages

No gateway enforced the limits. GatewayHttpServer now asks an AllowanceGuard after the key is known and before the body is read, and refuses requests over the limit with 429 allowance_exceeded. It does nothing until a routing table has a workspace with a limit.

RequestCharge follows it through a request. - The cost is returned when the request ends and no attempt may have run: never sent, or sent and certainly not run (421, 429, 503 of a server).

--- a/gateway/src/main/java/io/anvilusher/gateway/peer/LogInterval.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/process/LogInterval.java
@@ -1,9 +1,9 @@
-package io.anvilusher.gateway.peer;
+package io.anvilusher.adapters.process;
 
 /**
- * Bounds the number of log lines about one kind of event.
+ * Bounds the number of log lines about one kind of event. Not thread-safe.
  */
-final class LogInterval {
+public final class LogInterval {
 
 	private static final long INTERVAL_MS = 10_000;
 
@@ -16,7 +16,7 @@
 	 * @param nowMs the current time, by the monotonic clock
 	 * @return whether the last line is at least 10 s old
 	 */
-	boolean tryLog(long nowMs) {
+	public boolean tryLog(long nowMs) {
 		if (this.used && nowMs < this.nextAtMs) {
 			return false;
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.allowance.SharedAllowances;
 import io.anvilusher.gateway.control.AvailableEngineControl;
 import io.anvilusher.gateway.control.DutyMembership;
 import io.anvilusher.gateway.control.EngineControlClient;
@@ -151,7 +152,7 @@
 
 	private final SuspectGuard suspects;
 
-	private final ManagedPeerChannel peerChannel;
+	private final SharedAllowances allowances;
 
 	private Map<String, RegisteredServer> registeredServers = Map.of();
 
@@ -208,13 +209,15 @@
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
 		this.suspects = new SuspectGuard(settings.process(), engineControl, thread, this.adapter.suspects(),
 				this.context, timeOfDayMs, random);
-		this.peerChannel = createPeerChannel();
+		this.allowances = new SharedAllowances(settings.allowance(), createPeerChannel(), thread, this.clock,
+				this.meters, random);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
-				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
+				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs,
+				this.allowances);
 	}
 
 	private ManagedPeerChannel createPeerChannel() {
@@ -287,6 +290,7 @@
 		long versionInUse = this.routes.get().map((index) -> index.table().version()).orElse(Long.MIN_VALUE);
 		newest.filter((table) -> table.version() > versionInUse).ifPresent((table) -> {
 			this.routes.set(Optional.of(new RouteIndex(table)));
+			this.allowances.onLimits(table.allowances());
 			LOGGER.atInfo()
 				.addKeyValue("version", table.version())
 				.addKeyValue("replaces", versionInUse)
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -102,6 +102,7 @@
 			this.nextOffset = endOffset;
 			onReachable();
 			LOGGER.info("Table {} was read: {} records, offset {}", this.name, readSoFar.size(), endOffset);
+			this.listener.onRead(this.clock.nowMs());
 			this.listener.onTable(Map.copyOf(this.values));
 			readChanges();
 		});
@@ -111,6 +112,7 @@
 		onControlThread(this.table.changes(this.nextOffset, this.intervals.waitMs()), (result) -> {
 			if (result instanceof TableReadResult.Changes changes) {
 				onReachable();
+				this.listener.onRead(this.clock.nowMs());
 				this.nextOffset = changes.nextOffset();
 				if (!changes.records().isEmpty()) {
 					changes.records().forEach((keyedRecord) -> apply(this.values, keyedRecord));
@@ -198,6 +200,14 @@
 		 */
 		void onTable(Map<String, T> values);
 
+		/**
+		 * Called after each successful read, also one without changes, and before
+		 * {@link #onTable(Map)} if there are some.
+		 * @param nowMs the current time, by the monotonic clock
+		 */
+		default void onRead(long nowMs) {
+		}
+
 		/**
 		 * Called after each failed read.
 		 * @param nowMs the current time, by the monotonic clock
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -9,7 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -34,6 +34,9 @@
 import io.anvilusher.adapters.http.ServerStart;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.allowance.AllowanceGuard;
+import io.anvilusher.gateway.allowance.CountedCharge;
+import io.anvilusher.gateway.allowance.RequestCharge;
 import io.anvilusher.gateway.request.CallerResponse;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.RequestInput;
@@ -42,10 +45,12 @@
 import io.anvilusher.gateway.wire.WireFormat;
 import io.anvilusher.logic.admission.DrainAdmission;
 import io.anvilusher.logic.admission.LagAdmission;
+import io.anvilusher.logic.allowance.AllowanceDecision;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.model.request.RefusalReason;
 import io.anvilusher.model.routing.Route;
 import io.anvilusher.model.routing.RoutingTable;
+import io.anvilusher.model.routing.WorkspaceLimit;
 
 /**
  * The HTTP server for callers: matches the route, checks the key, reads the body and
@@ -127,6 +132,8 @@
 
 	private final LongSupplier lagMs;
 
+	private final AllowanceGuard allowances;
+
 	private final ActiveRequests activeRequests;
 
 	private final XnioIoThread thread;
@@ -146,10 +153,11 @@
 	 * @param meters the metrics of this process
 	 * @param random selects a service by the weights of a route's traffic split
 	 * @param lagMs returns how late the traffic thread is now, in ms
+	 * @param allowances decides whether requests are within the usage limits
 	 */
 	public GatewayHttpServer(InetSocketAddress address, XnioWorker worker, WireFormat format, Dispatcher dispatcher,
 			Supplier<Optional<RouteIndex>> routes, MonotonicClock clock, Meters meters, RandomGenerator random,
-			LongSupplier lagMs) {
+			LongSupplier lagMs, AllowanceGuard allowances) {
 		this.format = format;
 		this.dispatcher = dispatcher;
 		this.routes = routes;
@@ -157,6 +165,7 @@
 		this.meters = meters;
 		this.random = random;
 		this.lagMs = lagMs;
+		this.allowances = allowances;
 		this.activeRequests = new ActiveRequests(meters);
 		this.thread = worker.getIoThread();
 		this.address = address;
@@ -248,12 +257,17 @@
 			return;
 		}
 		String service = RouteIndex.selectService(route.get(), this.random.nextDouble());
-		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs, (body) -> new RequestInput(exchange, head,
-				body, route.get(), service, workspace, table.version(), arrivedAtMs));
+		UnreadRequest unread = new UnreadRequest(exchange, head, timeoutAtMs,
+				(body, charge) -> new RequestInput(exchange, head, body, route.get(), service, workspace,
+						table.version(), arrivedAtMs, charge));
 		unread.guard(() -> {
+			if (!unread.tryCharge(workspace, table)) {
+				return;
+			}
 			RequestBodyReader reader = new RequestBodyReader(exchange, this.dispatcher.client(),
 					table.limits().maxBodyBytes(), unread);
 			if (!reader.reserve()) {
+				unread.charge.end();
 				refuse(exchange, head, RefusalReason.MEMORY_EXHAUSTED, OptionalLong.of(noMemoryRetryAfterMs()));
 				return;
 			}
@@ -338,7 +352,9 @@
 
 		private final long timeoutAtMs;
 
-		private final Function<byte[], RequestInput> input;
+		private final BiFunction<byte[], RequestCharge, RequestInput> input;
+
+		private RequestCharge charge = RequestCharge.NONE;
 
 		private boolean ended;
 
@@ -349,13 +365,38 @@
 		};
 
 		UnreadRequest(HttpServerExchange exchange, RequestHead head, long timeoutAtMs,
-				Function<byte[], RequestInput> input) {
+				BiFunction<byte[], RequestCharge, RequestInput> input) {
 			this.exchange = exchange;
 			this.head = head;
 			this.timeoutAtMs = timeoutAtMs;
 			this.input = input;
 		}
 
+		/**
+		 * Charges the request to the allowance of its workspace; refuses it if it is over
+		 * the allowance.
+		 * @param workspace the workspace of the caller's key
+		 * @param table the routing table used for the request
+		 * @return whether the request was charged or its workspace has no limit
+		 */
+		boolean tryCharge(Optional<String> workspace, RoutingTable table) {
+			Optional<WorkspaceLimit> limit = workspace.map(table.allowances()::get);
+			if (limit.isEmpty()) {
+				return true;
+			}
+			AllowanceGuard guard = GatewayHttpServer.this.allowances;
+			AllowanceDecision decision = guard.admit(workspace.get(), limit.get().cost(this.head.tokens()));
+			if (decision instanceof AllowanceDecision.Refused refused) {
+				refuse(this.exchange, this.head, RefusalReason.ALLOWANCE_EXCEEDED,
+						OptionalLong.of(refused.retryAfterMs()));
+				return false;
+			}
+			if (decision instanceof AllowanceDecision.Admitted admitted) {
+				this.charge = new CountedCharge(guard, admitted.charge());
+			}
+			return true;
+		}
+
 		// The body of most requests has arrived together with their head.
 		void awaitBody(RequestBodyReader reader) {
 			if (this.ended) {
@@ -376,8 +417,7 @@
 					step.run();
 				}
 				catch (RuntimeException | Error ex) {
-					end();
-					this.cancelReading.run();
+					UnexpectedExceptions.runAll(this::end, this.cancelReading, this.charge::end);
 					throw ex;
 				}
 			});
@@ -402,11 +442,12 @@
 			}
 			// The body may have taken until shortly before the end of the process.
 			if (!acceptsWhileDraining(this.timeoutAtMs)) {
+				this.charge.end();
 				refuse(this.exchange, this.head, RefusalReason.ENTRY_DRAINING,
 						OptionalLong.of(DRAINING_RETRY_AFTER_MS));
 				return;
 			}
-			GatewayHttpServer.this.dispatcher.start(this.input.apply(body));
+			GatewayHttpServer.this.dispatcher.start(this.input.apply(body, this.charge));
 		}
 
 		@Override
@@ -426,6 +467,7 @@
 			if (!end()) {
 				return;
 			}
+			this.charge.end();
 			LOGGER.atInfo()
 				.addKeyValue("request_id", this.head.attemptId())
 				.addKeyValue("cause", cause.getMessage())
@@ -439,6 +481,7 @@
 			if (!end()) {
 				return;
 			}
+			this.charge.end();
 			this.cancelReading.run();
 			this.exchange.setPersistent(false);
 			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
--- a/gateway/src/main/java/io/anvilusher/gateway/peer/LocalPeerChannel.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/peer/LocalPeerChannel.java
@@ -1,6 +1,8 @@
 package io.anvilusher.gateway.peer;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 
 import io.anvilusher.adapters.metrics.Meters;
@@ -16,6 +18,8 @@
 
 	private final Executor thread;
 
+	private final MonotonicClock clock;
+
 	private final PeerReceivers receivers;
 
 	/**
@@ -28,6 +32,7 @@
 	public LocalPeerChannel(String self, Executor thread, Meters meters, MonotonicClock clock) {
 		this.self = self;
 		this.thread = thread;
+		this.clock = clock;
 		this.receivers = new PeerReceivers(meters, clock);
 	}
 
@@ -62,6 +67,16 @@
 		this.receivers.set(type, receiver);
 	}
 
+	/**
+	 * {@inheritDoc}
+	 * <p>
+	 * This gateway is the only one.
+	 */
+	@Override
+	public Optional<PeerRoster> roster() {
+		return Optional.of(new PeerRoster(Map.of(this.self, 1.0), this.clock.nowMs()));
+	}
+
 	@Override
 	public void remove(Peer peer) {
 		// The list of gateways is always empty.
--- a/gateway/src/main/java/io/anvilusher/gateway/peer/PeerDirectory.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/peer/PeerDirectory.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,8 +14,8 @@
 
 /**
  * Keeps the entry of this gateway in the list of gateways and follows the list. Runs on
- * the control thread, except {@link #current()}. Without the store, the last list that
- * was read stays in use.
+ * the control thread, except {@link #current()} and {@link #roster()}. Without the store,
+ * the last list that was read stays in use.
  */
 final class PeerDirectory implements TableFollower.Listener<Peer> {
 
@@ -52,6 +53,10 @@
 
 	private volatile PeerList list = PeerList.EMPTY;
 
+	private volatile Optional<PeerRoster> roster = Optional.empty();
+
+	private long readAtMs;
+
 	PeerDirectory(Peer self, StoreTable table, TableFollower.ControlContext context) {
 		this.self = self;
 		this.table = table;
@@ -74,6 +79,20 @@
 		return this.list;
 	}
 
+	/**
+	 * Returns the newest list and its age. May be called on any thread.
+	 * @return the list, or empty before the first read
+	 */
+	Optional<PeerRoster> roster() {
+		return this.roster;
+	}
+
+	@Override
+	public void onRead(long nowMs) {
+		this.readAtMs = nowMs;
+		this.roster = this.roster.map((known) -> new PeerRoster(known.capacities(), nowMs));
+	}
+
 	@Override
 	public void onTable(Map<String, Peer> values) {
 		PeerList next = new PeerList(values);
@@ -84,6 +103,8 @@
 				.log("List of gateways changed");
 		}
 		this.list = next;
+		this.roster = Optional.of(new PeerRoster(
+				next.ordered().stream().collect(Collectors.toMap(Peer::name, Peer::capacity)), this.readAtMs));
 		boolean wasRegistered = this.registered;
 		this.registered = next.find(this.self.name()).filter(this.self::equals).isPresent();
 		if (wasRegistered && !this.registered) {
--- a/gateway/src/main/java/io/anvilusher/gateway/peer/PeerReceivers.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/peer/PeerReceivers.java
@@ -7,6 +7,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.anvilusher.adapters.metrics.Meters;
+import io.anvilusher.adapters.process.LogInterval;
 import io.anvilusher.adapters.process.MonotonicClock;
 
 /**
--- a/gateway/src/main/java/io/anvilusher/gateway/peer/UdpPeerChannel.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/peer/UdpPeerChannel.java
@@ -121,6 +121,11 @@
 		}
 	}
 
+	@Override
+	public Optional<PeerRoster> roster() {
+		return this.directory.roster();
+	}
+
 	@Override
 	public void remove(Peer peer) {
 		this.context.thread().run(() -> this.directory.remove(peer));
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -105,11 +105,18 @@
 		this.response = new CallerResponse(input.exchange());
 		this.streamAccount = dispatcher.client().memory().open();
 		input.exchange().addExchangeCompleteListener((ended, next) -> {
-			releaseMemory();
+			UnexpectedExceptions.runAll(this::releaseMemory, this::endChargeIfDone);
 			next.proceed();
 		});
 	}
 
+	// Repeats what an exception may have prevented when the request ended.
+	private void endChargeIfDone() {
+		if (this.done) {
+			this.input.charge().end();
+		}
+	}
+
 	private void releaseMemory() {
 		this.streamAccount.release();
 		if (this.currentAttempt != null) {
@@ -161,7 +168,8 @@
 				() -> Optional.ofNullable(attempt).ifPresent(ServerAttempt::endUnexpectedly),
 				() -> Optional.ofNullable(this.currentAttempt).ifPresent(ServerAttempt::endUnexpectedly),
 				() -> this.response.endUnexpectedly(reason, retryAfterMsIfKnown(reason)), this.cancelTimeout,
-				() -> this.dispatcher.forget(this), this::releaseMemory, this::freeUnfetchedKvCache, () -> {
+				() -> this.dispatcher.forget(this), this.input.charge()::end, this::releaseMemory,
+				this::freeUnfetchedKvCache, () -> {
 					if (!ended) {
 						this.dispatcher.meters().refused(this.input.service(), reason);
 						recordEnd(reason.code(), this.streamStarted ? 0 : reason.httpStatus());
@@ -318,6 +326,9 @@
 	 * against the retry budget
 	 */
 	void onNotRun(ServerAttempt attempt, AttemptFailure failure, boolean arrived) {
+		if (attempt.isSendStarted()) {
+			this.input.charge().onNotRun();
+		}
 		if (this.done) {
 			return;
 		}
@@ -622,6 +633,7 @@
 		this.done = true;
 		this.dispatcher.forget(this);
 		this.cancelTimeout.run();
+		this.input.charge().end();
 		freeUnfetchedKvCache();
 		recordEnd(outcome, status);
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/RequestInput.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/RequestInput.java
@@ -5,6 +5,7 @@
 
 import io.undertow.server.HttpServerExchange;
 
+import io.anvilusher.gateway.allowance.RequestCharge;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.wire.RequestHead;
 import io.anvilusher.model.request.PromptShape;
@@ -22,9 +23,10 @@
  * which only a route open to all or a routing table that requires no keys allows
  * @param tableVersion version of the routing table used for the request
  * @param arrivedAtMs time at which the headers were read, by the monotonic clock
+ * @param charge what the request was charged to the allowance of its workspace
  */
 public record RequestInput(HttpServerExchange exchange, RequestHead head, byte[] body, Route route, String service,
-		Optional<String> workspace, long tableVersion, long arrivedAtMs) {
+		Optional<String> workspace, long tableVersion, long arrivedAtMs, RequestCharge charge) {
 
 	long deadlineMs() {
 		return this.arrivedAtMs + this.head.remainingMs().orElse(this.route.timeoutMs());
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -137,6 +137,10 @@
 		return promptAttempt().trackedServer;
 	}
 
+	boolean isSendStarted() {
+		return this.sendStarted;
+	}
+
 	boolean mayHaveRun() {
 		return this.sendStarted && !(this.step instanceof KvStep.Prefill);
 	}
@@ -200,7 +204,10 @@
 
 	@Override
 	public void onSending() {
-		this.sendStarted = true;
+		if (!this.sendStarted) {
+			this.sendStarted = true;
+			this.request.input().charge().onSending();
+		}
 	}
 
 	@Override
--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -357,7 +357,8 @@
 
 	String describe(String w, long nowMs) {
 		WorkspaceUse use = this.uses.get(w);
-		return "valid " + (nowMs < this.ceilingsUntilMs) + " ceiling " + use.ceiling() + " counted " + use.counted(nowMs)+" lastReport "+(nowMs-this.lastReportMs)+" alloc "+this.allocator;
+		return "valid " + (nowMs < this.ceilingsUntilMs) + " ceiling " + use.ceiling() + " counted "
+				+ use.counted(nowMs) + " lastReport " + (nowMs - this.lastReportMs) + " alloc " + this.allocator;
 	}
 
 	private long overdraft(WorkspaceLimit limit) {
--- a/logic/src/test/java/io/anvilusher/logic/allowance/AllowanceSchedule.java
+++ b/logic/src/test/java/io/anvilusher/logic/allowance/AllowanceSchedule.java
@@ -330,7 +330,9 @@
 			AllowanceSchedule.this.refused++;
 			if (this.madeInWindow <= TERMS.capacity(LIMIT) * (1 - DEMAND_NOISE)) {
 				AllowanceSchedule.this.wronglyRefused++;
-				System.out.println("WRONG " + this.name+" since "+(now-1_001_000)+" moved "+(now-this.movedMs)+" at "+node.name+" cost "+cost+" made "+this.madeInWindow+" of "+TERMS.capacity(LIMIT) + " " + node.local.describe(this.name, now));
+				System.out.println("WRONG " + this.name + " since " + (now - 1_001_000) + " moved "
+						+ (now - this.movedMs) + " at " + node.name + " cost " + cost + " made " + this.madeInWindow
+						+ " of " + TERMS.capacity(LIMIT) + " " + node.local.describe(this.name, now));
 			}
 		}
 
