--- a/logic/src/main/java/io/anvilusher/logic/allowance/AllowanceAllocator.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/AllowanceAllocator.java
@@ -259,7 +259,7 @@
 			.mapToLong((member) -> member.holding(workspace, nowMs).committed())
 			.sum();
 		return new Division(capacity, own - silent - former, group.size(),
-				holdings.stream().mapToLong(Holding::use).sum(), holdings.stream().mapToLong(Holding::demand).sum(),
+				holdings.stream().mapToLong(Holding::use).sum(), holdings.stream().mapToLong(Holding::weight).sum(),
 				holdings.stream().mapToLong(Holding::committed).sum());
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
@@ -8,10 +8,10 @@
  * @param pool part of the limit that the group may use
  * @param members number of members
  * @param used sum of the use of all members
- * @param demand sum of the demand of all members
+ * @param weight sum of the weights of all members
  * @param committed sum of what each member may have or reach
  */
-record Division(long capacity, long pool, int members, long used, long demand, long committed) {
+record Division(long capacity, long pool, int members, long used, long weight, long committed) {
 
 	/**
 	 * Part of the unused pool that is granted to members in equal parts, so that a
@@ -33,7 +33,7 @@
 
 	Division replace(Holding before, Holding after) {
 		return new Division(this.capacity, this.pool, this.members, this.used - before.use() + after.use(),
-				this.demand - before.demand() + after.demand(),
+				this.weight - before.weight() + after.weight(),
 				this.committed - before.committed() + after.committed());
 	}
 
@@ -44,7 +44,7 @@
 	 */
 	long target(Holding holding) {
 		double unused = Math.max(0, this.pool - this.used);
-		double byDemand = (this.demand > 0) ? (double) holding.demand() / this.demand : 1.0 / this.members;
+		double byDemand = (this.weight > 0) ? (double) holding.weight() / this.weight : 1.0 / this.members;
 		return holding.use() + (long) (unused * (EQUAL_PART / this.members + DEMAND_PART * byDemand));
 	}
 
