--- a/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
@@ -25,6 +25,18 @@
 	 */
 	private static final double DEMAND_PART = 0.6;
 
+	/**
+	 * Unused part of a ceiling, in times of the demand: 1 s of it. What a killed gateway
+	 * could have used is not granted to others for a window, so it is kept small.
+	 */
+	private static final double HEADROOM_DEMANDS = 4;
+
+	/**
+	 * Least unused part of a ceiling of a member with demand, as part of the limit. At
+	 * ten times the rate it lasts for two round trips.
+	 */
+	private static final double MIN_HEADROOM = 0.03;
+
 	/**
 	 * Part of the limit that all members together may hold above their targets while
 	 * another one is short of it. Smaller differences are not worth a message.
@@ -44,8 +56,10 @@
 	 */
 	long target(Holding holding) {
 		double unused = Math.max(0, this.pool - this.used);
-		double byDemand = (this.weight > 0) ? (double) holding.weight() / this.weight : 1.0 / this.members;
-		return holding.use() + (long) (unused * (EQUAL_PART / this.members + DEMAND_PART * byDemand));
+		double byDemand = (this.weight > 0) ? (double) holding.weight() / this.weight : 0;
+		double needed = Math.max(MIN_HEADROOM * this.capacity, HEADROOM_DEMANDS * holding.demand());
+		return holding.use()
+				+ (long) (unused * EQUAL_PART / this.members + Math.min(unused * DEMAND_PART * byDemand, needed));
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -24,7 +24,7 @@
 	public static final long URGENT_INTERVAL_MS = 20;
 
 	/** Validity of a grant from the time of the report that it answers, in ms. */
-	public static final long GRANT_MS = 1_000;
+	public static final long GRANT_MS = 1_200;
 
 	/** Time over which demand is measured, in ms. */
 	public static final long DEMAND_WINDOW_MS = 250;
@@ -254,6 +254,16 @@
 		answered.markAnswered();
 	}
 
+	/**
+	 * Returns whether requests are admitted within granted ceilings. A gateway that joins
+	 * should get no traffic before.
+	 * @param nowMs current time of the monotonic clock
+	 * @return whether no workspace has a limit, or a grant is valid
+	 */
+	public boolean isReady(long nowMs) {
+		return this.limits.isEmpty() || nowMs < this.ceilingsUntilMs;
+	}
+
 	/**
 	 * Returns the reports that are due. Called after requests were admitted or a grant
 	 * was received, and at least every {@link #URGENT_INTERVAL_MS}; cheap if nothing is
