--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -289,8 +289,8 @@
 		Optional<RoutingTable> newest = tables.values().stream().max(Comparator.comparingLong(RoutingTable::version));
 		long versionInUse = this.routes.get().map((index) -> index.table().version()).orElse(Long.MIN_VALUE);
 		newest.filter((table) -> table.version() > versionInUse).ifPresent((table) -> {
-			this.routes.set(Optional.of(new RouteIndex(table)));
 			this.allowances.onLimits(table.allowances());
+			this.routes.set(Optional.of(new RouteIndex(table)));
 			LOGGER.atInfo()
 				.addKeyValue("version", table.version())
 				.addKeyValue("replaces", versionInUse)
@@ -316,7 +316,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.draining && this.serversKnown && this.routes.get().isPresent();
+		return !this.draining && this.serversKnown && this.routes.get().isPresent() && this.allowances.isReady();
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/allowance/SharedAllowances.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/allowance/SharedAllowances.java
@@ -33,7 +33,7 @@
  * Divides the usage limits of workspaces among the gateways by messages: reports to the
  * allocator of this gateway, and grants to the gateways whose allocator it is. Does
  * nothing until a routing table has a workspace with a limit. Used on the traffic thread,
- * except {@link #onLimits(Map)}.
+ * except {@link #onLimits(Map)} and {@link #isReady()}.
  */
 public final class SharedAllowances implements AllowanceGuard {
 
@@ -48,6 +48,12 @@
 	/** Largest name of a workspace in a message; a part holds several of this size. */
 	private static final int MAX_NAME_BYTES = 400;
 
+	/**
+	 * Longest time for which a gateway that starts is not ready because it has no grant:
+	 * several times what the list of gateways, a report and its answer take.
+	 */
+	private static final long READY_WAIT_MS = 3_000;
+
 	private final ManagedPeerChannel channel;
 
 	private final XnioExecutor thread;
@@ -86,6 +92,12 @@
 
 	private boolean active;
 
+	private volatile boolean tableKnown;
+
+	private volatile boolean joining;
+
+	private volatile long joiningSinceMs;
+
 	/**
 	 * Creates the allowances; they become active with the first limit.
 	 * @param terms the terms of all limits
@@ -108,14 +120,47 @@
 	}
 
 	/**
-	 * Sets the limits of the routing table in force. May be called on any thread; calls
+	 * Sets the limits of the routing table in force. Called on the control thread; calls
 	 * take effect in their order.
 	 * @param newLimits the limits by workspace
 	 */
 	public void onLimits(Map<String, WorkspaceLimit> newLimits) {
+		if (!this.tableKnown && !newLimits.isEmpty()) {
+			this.joiningSinceMs = this.clock.nowMs();
+			this.joining = true;
+		}
+		this.tableKnown = true;
 		this.thread.execute(() -> guard(() -> setLimits(newLimits)));
 	}
 
+	/**
+	 * Returns whether this gateway can get traffic. One that starts waits for its first
+	 * grant, since it would refuse requests within the limits before; but only for a
+	 * short time, because it may be cut off from the other gateways. May be called on any
+	 * thread.
+	 * @return whether it has had a grant, no limit applied when it started, or it has
+	 * waited long enough
+	 */
+	public boolean isReady() {
+		return !this.joining || this.clock.nowMs() - this.joiningSinceMs >= READY_WAIT_MS;
+	}
+
+	private void endJoining(long nowMs) {
+		if (!this.joining) {
+			return;
+		}
+		if (this.local.isReady(nowMs)) {
+			this.joining = false;
+		}
+		else if (nowMs - this.joiningSinceMs >= READY_WAIT_MS) {
+			this.joining = false;
+			LOGGER.atWarn()
+				.addKeyValue("waited_ms", nowMs - this.joiningSinceMs)
+				.log("No gateway has granted a part of the usage limits yet; this gateway is ready without, and "
+						+ "refuses requests that it could admit with a grant");
+		}
+	}
+
 	private void setLimits(Map<String, WorkspaceLimit> newLimits) {
 		Map<String, WorkspaceLimit> usable = newLimits.entrySet()
 			.stream()
@@ -171,6 +216,7 @@
 		long nowMs = this.clock.nowMs();
 		this.channel.roster().ifPresent((roster) -> applyRoster(roster, nowMs));
 		sendReports(nowMs);
+		endJoining(nowMs);
 		this.allocator.dueGrants(nowMs).forEach((grant) -> send(grant.gateway(), grant.grant()));
 		this.refusalLog.endPeriods(nowMs);
 		if (nowMs - this.removalCheckedAtMs >= REMOVAL_INTERVAL_MS) {
