--- a/logic/src/main/java/io/anvilusher/logic/allowance/AllocatorChoice.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/AllocatorChoice.java
@@ -20,10 +20,10 @@
 	/** Time for the answers of all candidates, about ten round trips. */
 	private static final long DISCOVERY_MS = 100;
 
-	private static final long PROBE_INTERVAL_MS = 1_000;
+	private static final long PROBE_INTERVAL_MS = 200;
 
 	/** Sizes of groups change while gateways move; a gateway does not follow each. */
-	private static final long MIN_STAY_MS = 3_000;
+	private static final long MIN_STAY_MS = 1_000;
 
 	private GatewayRanking ranking = GatewayRanking.EMPTY;
 
--- a/logic/src/main/java/io/anvilusher/logic/allowance/AllowanceTerms.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/AllowanceTerms.java
@@ -16,6 +16,9 @@
 
 	private static final double MS_PER_S = 1_000;
 
+	/** More than any deployment serves; sums over all gateways do not overflow. */
+	private static final double MAX_CAPACITY = 1e15;
+
 	public AllowanceTerms {
 		if (windowMs <= 0 || !(overage >= 0) || !(slack >= 0)) {
 			throw new IllegalArgumentException("window of " + windowMs + " ms, overage " + overage + " and slack "
@@ -26,10 +29,10 @@
 	/**
 	 * Returns the use that a limit allows in a window.
 	 * @param limit the limit
-	 * @return the use in the unit of the limit
+	 * @return the use in the unit of the limit, bounded
 	 */
 	public long capacity(WorkspaceLimit limit) {
-		return (long) (limit.ratePerS() * this.windowMs / MS_PER_S + limit.burst());
+		return (long) Math.min(MAX_CAPACITY, limit.ratePerS() * this.windowMs / MS_PER_S + limit.burst());
 	}
 
 	/**
--- a/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/Division.java
@@ -17,13 +17,13 @@
 	 * Part of the unused pool that is granted to members in equal parts, so that a
 	 * request at a member without use need not wait for a grant.
 	 */
-	private static final double EQUAL_PART = 0.25;
+	private static final double EQUAL_PART = 0.4;
 
 	/**
 	 * Part of the unused pool that is granted to members by their demand. The rest is
 	 * kept for members whose demand rises.
 	 */
-	private static final double DEMAND_PART = 0.6;
+	private static final double DEMAND_PART = 0.5;
 
 	/**
 	 * Unused part of a ceiling, in times of the demand: 1 s of it. What a killed gateway
--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -47,6 +47,12 @@
 	 */
 	static final long LAPSE_MS = 20_000;
 
+	/**
+	 * Part of the overdraft that gateways use. The rest is a margin for requests that
+	 * arrive at servers later than they were sent.
+	 */
+	private static final double USED_OVERDRAFT = 0.5;
+
 	/** Number of gateways that is assumed while the list of gateways is not known. */
 	static final int ASSUMED_GATEWAYS = 100;
 
@@ -365,14 +371,9 @@
 		return (joined && !lapsed) ? this.terms.capacity(limit) / this.ranking.registered() : 0;
 	}
 
-	String describe(String w, long nowMs) {
-		WorkspaceUse use = this.uses.get(w);
-		return "valid " + (nowMs < this.ceilingsUntilMs) + " ceiling " + use.ceiling() + " counted " + use.counted(nowMs)+" lastReport "+(nowMs-this.lastReportMs)+" alloc "+this.allocator;
-	}
-
 	private long overdraft(WorkspaceLimit limit) {
 		int gateways = (this.ranking.registered() > 0) ? this.ranking.registered() : ASSUMED_GATEWAYS;
-		return (long) (this.terms.overdraft(limit) / gateways);
+		return (long) (USED_OVERDRAFT * this.terms.overdraft(limit) / gateways);
 	}
 
 	/**
--- a/review/harness/GatewayProcess.java
+++ b/review/harness/GatewayProcess.java
@@ -27,7 +27,9 @@
         this.callerPort = ports.get(0);
         this.readyPort = ports.get(1);
         this.metricsPort = ports.get(2);
-        String template = Files.readString(Path.of("platform/settings.json"));
+        String template = Files.readString(Path.of("platform/settings.json"))
+                // Sections are optional settings, which the harness leaves out.
+                .replaceAll("\\{\\{#([^}]*)}}.*?\\{\\{/\\1}}", "");
         String settings = template.replace("{{node_name|json}}", "\"" + name + "\"").replace("{{zone|json}}", "\"z\"")
                 .replace("{{listen.front|json}}", "\"127.0.0.1:" + this.callerPort + "\"")
                 .replace("{{listen.ready_addr|json}}", "\"127.0.0.1:" + this.readyPort + "\"")
