--- a/logic/src/main/java/io/anvilusher/logic/allowance/GrantedCeiling.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/GrantedCeiling.java
@@ -9,4 +9,10 @@
  */
 public record GrantedCeiling(String workspace, long ceiling) {
 
+	public GrantedCeiling {
+		if (ceiling < 0) {
+			throw new IllegalArgumentException("ceiling " + ceiling + " of workspace " + workspace + " is negative");
+		}
+	}
+
 }
--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.anvilusher.model.routing.WorkspaceLimit;
 
@@ -94,6 +95,8 @@
 
 	private boolean reportNow;
 
+	private long answeredMs = Long.MIN_VALUE;
+
 	private Optional<Allocator> allocator = Optional.empty();
 
 	/** Time until which a former allocator may count this gateway's share. */
@@ -243,6 +246,7 @@
 
 	private void takeCeilings(AllowanceGrant grant, SentReport answered, long nowMs) {
 		this.inGroup = true;
+		this.answeredMs = nowMs;
 		this.delegatedUntilMs = nowMs + MEMBER_MS + MEMBER_MARGIN_MS + GRANT_MS + this.terms.windowMs();
 		this.ceilingsUntilMs = answered.sentMs() + GRANT_MS;
 		for (GrantedCeiling granted : grant.ceilings()) {
@@ -260,6 +264,27 @@
 		answered.markAnswered();
 	}
 
+	/**
+	 * Returns the use that may count now for a workspace without overdraft.
+	 * @param workspace name of the workspace
+	 * @param nowMs current time of the monotonic clock
+	 * @return the use in the unit of the limit; empty if the workspace has no limit
+	 */
+	public OptionalLong ceiling(String workspace, long nowMs) {
+		WorkspaceLimit limit = this.limits.get(workspace);
+		WorkspaceUse use = this.uses.get(workspace);
+		return (limit != null && use != null) ? OptionalLong.of(line(limit, use, nowMs)) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns the time since the last answer of an allocator.
+	 * @param nowMs current time of the monotonic clock
+	 * @return the time in ms; empty before the first answer
+	 */
+	public OptionalLong answerAgeMs(long nowMs) {
+		return (this.answeredMs != Long.MIN_VALUE) ? OptionalLong.of(nowMs - this.answeredMs) : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns whether requests are admitted within granted ceilings. A gateway that joins
 	 * should get no traffic before.
--- a/logic/src/main/java/io/anvilusher/logic/allowance/ReportedUse.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/ReportedUse.java
@@ -12,4 +12,11 @@
  */
 public record ReportedUse(String workspace, long use, long demand, long ceiling) {
 
+	public ReportedUse {
+		if (use < 0 || demand < 0 || ceiling < 0) {
+			throw new IllegalArgumentException("use " + use + ", demand " + demand + " and ceiling " + ceiling
+					+ " of workspace " + workspace + " must not be negative");
+		}
+	}
+
 }
--- a/logic/src/test/java/io/anvilusher/logic/allowance/AllowanceScheduleTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/allowance/AllowanceScheduleTests.java
@@ -17,7 +17,7 @@
  */
 public class AllowanceScheduleTests {
 
-	private static final int GATEWAYS = 29;
+	private static final int GATEWAYS = Integer.getInteger("allowance.gateways", 29);
 
 	private static final double RATE = AllowanceSchedule.LIMIT.ratePerS();
 
