--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import io.anvilusher.model.routing.WorkspaceLimit;
 
@@ -47,6 +48,12 @@
 	 */
 	static final long LAPSE_MS = 20_000;
 
+	/**
+	 * Part of the overdraft that gateways use. The rest is a margin for requests that
+	 * arrive at servers later than they were sent.
+	 */
+	private static final double USED_OVERDRAFT = 0.5;
+
 	/** Number of gateways that is assumed while the list of gateways is not known. */
 	static final int ASSUMED_GATEWAYS = 100;
 
@@ -88,6 +95,8 @@
 
 	private boolean reportNow;
 
+	private long answeredMs = Long.MIN_VALUE;
+
 	private Optional<Allocator> allocator = Optional.empty();
 
 	/** Time until which a former allocator may count this gateway's share. */
@@ -237,6 +246,7 @@
 
 	private void takeCeilings(AllowanceGrant grant, SentReport answered, long nowMs) {
 		this.inGroup = true;
+		this.answeredMs = nowMs;
 		this.delegatedUntilMs = nowMs + MEMBER_MS + MEMBER_MARGIN_MS + GRANT_MS + this.terms.windowMs();
 		this.ceilingsUntilMs = answered.sentMs() + GRANT_MS;
 		for (GrantedCeiling granted : grant.ceilings()) {
@@ -254,6 +264,27 @@
 		answered.markAnswered();
 	}
 
+	/**
+	 * Returns the use that may count now for a workspace without overdraft.
+	 * @param workspace name of the workspace
+	 * @param nowMs current time of the monotonic clock
+	 * @return the use in the unit of the limit; empty if the workspace has no limit
+	 */
+	public OptionalLong ceiling(String workspace, long nowMs) {
+		WorkspaceLimit limit = this.limits.get(workspace);
+		WorkspaceUse use = this.uses.get(workspace);
+		return (limit != null && use != null) ? OptionalLong.of(line(limit, use, nowMs)) : OptionalLong.empty();
+	}
+
+	/**
+	 * Returns the time since the last answer of an allocator.
+	 * @param nowMs current time of the monotonic clock
+	 * @return the time in ms; empty before the first answer
+	 */
+	public OptionalLong answerAgeMs(long nowMs) {
+		return (this.answeredMs != Long.MIN_VALUE) ? OptionalLong.of(nowMs - this.answeredMs) : OptionalLong.empty();
+	}
+
 	/**
 	 * Returns whether requests are admitted within granted ceilings. A gateway that joins
 	 * should get no traffic before.
@@ -365,15 +396,9 @@
 		return (joined && !lapsed) ? this.terms.capacity(limit) / this.ranking.registered() : 0;
 	}
 
-	String describe(String w, long nowMs) {
-		WorkspaceUse use = this.uses.get(w);
-		return "valid " + (nowMs < this.ceilingsUntilMs) + " ceiling " + use.ceiling() + " counted "
-				+ use.counted(nowMs) + " lastReport " + (nowMs - this.lastReportMs) + " alloc " + this.allocator;
-	}
-
 	private long overdraft(WorkspaceLimit limit) {
 		int gateways = (this.ranking.registered() > 0) ? this.ranking.registered() : ASSUMED_GATEWAYS;
-		return (long) (this.terms.overdraft(limit) / gateways);
+		return (long) (USED_OVERDRAFT * this.terms.overdraft(limit) / gateways);
 	}
 
 	/**
