--- a/gateway/src/test/java/io/anvilusher/gateway/peer/StoreTableStub.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/peer/StoreTableStub.java
@@ -15,7 +15,7 @@
 /**
  * A table of the store in memory. A test can make it unavailable.
  */
-final class StoreTableStub implements StoreTable {
+public final class StoreTableStub implements StoreTable {
 
 	private final List<KeyedRecord> log = new ArrayList<>();
 
@@ -34,7 +34,7 @@
 		}
 	}
 
-	synchronized int calls() {
+	public synchronized int calls() {
 		return this.calls;
 	}
 
