Keep the platform free of logic; name the meters of allowances alike

PlatformLayerTests failed, because Rehearsal used AllowanceTerms of logic to create settings. GatewaySettings now has a constructor with the defaults, as before. The gauge of the granted part is anvilusher.allowance.ceiling, as docs/METRICS.md named it already.

--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -44,6 +44,35 @@
 	/** Larger than any use that a window counts. */
 	private static final double MAX_SLACK = 1e15;
 
+	/**
+	 * Creates the settings of a gateway that exchanges no messages with others, with the
+	 * default terms of usage limits.
+	 * @param process name of the process
+	 * @param dataCentre its data centre
+	 * @param callerAddress address at which it accepts requests
+	 * @param readyAddress address of the readiness check for the load balancer
+	 * @param metricsAddress address of its metrics and status pages
+	 * @param store address of the platform's store
+	 * @param duties address to which usage reports are sent; empty if the platform takes
+	 * none
+	 * @param graceMs time between SIGTERM and SIGKILL, in ms
+	 * @param retryRatio retries allowed for each request, over all gateways together
+	 * @param retryWindowMs length of the sliding window of the retry budget, in ms
+	 * @param usageWindowMs length of a usage window, in ms
+	 * @param usageLateMs time after the end of a window by which its report is due, in ms
+	 * @param leaseMs lease duration of the duties, in ms
+	 * @param drainMs time after which a draining server must get no new requests, in ms
+	 * @param catchUpMs time in ms until the newest state must be in use after an outage
+	 */
+	public GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
+			InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties,
+			long graceMs, double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs,
+			long drainMs, long catchUpMs) {
+		this(process, dataCentre, callerAddress, readyAddress, metricsAddress, store, duties, graceMs, retryRatio,
+				retryWindowMs, usageWindowMs, usageLateMs, leaseMs, drainMs, catchUpMs, AllowanceTerms.DEFAULT,
+				PeerSettings.NONE);
+	}
+
 	/**
 	 * Reads the settings.
 	 * @param reader reads the object of the settings file and collects its errors
--- a/gateway/src/main/java/io/anvilusher/gateway/allowance/AllowanceMeters.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/allowance/AllowanceMeters.java
@@ -69,7 +69,7 @@
 
 	private WorkspaceMeters register(String tag) {
 		Granted granted = new Granted();
-		this.meters.gauge("anvilusher.allowance.granted", granted, (current) -> current.ceiling, "workspace", tag);
+		this.meters.gauge("anvilusher.allowance.ceiling", granted, (current) -> current.ceiling, "workspace", tag);
 		return new WorkspaceMeters(
 				this.meters.counter("anvilusher.allowance.requests", "workspace", tag, "outcome", "allowed"),
 				this.meters.counter("anvilusher.allowance.requests", "workspace", tag, "outcome", "refused"), granted);
--- a/gateway/src/main/java/io/anvilusher/gateway/allowance/SharedAllowances.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/allowance/SharedAllowances.java
@@ -300,7 +300,7 @@
 					.addKeyValue("allocator", gateway)
 					.addKeyValue("before", this.lastAllocator)
 					.addKeyValue("members", grant.members())
-					.log("The usage limits of workspaces are divided by another gateway");
+					.log("Allocator of the usage limits changed");
 			}
 			this.lastAllocator = gateway;
 			this.meters.onAllocatorChanged();
