--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -34,6 +34,9 @@
 		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs, long drainMs,
 		long catchUpMs, AllowanceTerms allowance) {
 
+	/** The terms of a deployment whose settings state none. */
+	public static final AllowanceTerms DEFAULT_ALLOWANCE = AllowanceTerms.DEFAULT;
+
 	private static final long MAX_MS = 3_600_000;
 
 	private static final double MS_PER_S = 1_000;
@@ -62,7 +65,7 @@
 	}
 
 	private static AllowanceTerms readAllowance(ObjectReader reader) {
-		AllowanceTerms defaults = AllowanceTerms.DEFAULT;
+		AllowanceTerms defaults = DEFAULT_ALLOWANCE;
 		return new AllowanceTerms(
 				(long) (reader.number("allowanceWindowS", 0.1, MAX_MS / MS_PER_S, defaults.windowMs() / MS_PER_S)
 						* MS_PER_S),
