--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.allowance.SharedAllowances;
 import io.anvilusher.gateway.control.AvailableEngineControl;
 import io.anvilusher.gateway.control.DutyMembership;
 import io.anvilusher.gateway.control.EngineControlClient;
@@ -161,7 +162,7 @@
 
 	private final SuspectGuard suspects;
 
-	private final ManagedPeerChannel peerChannel;
+	private final SharedAllowances allowances;
 
 	private final CoordinatedPlacement coordination;
 
@@ -222,21 +223,24 @@
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
 		this.suspects = new SuspectGuard(settings.process(), engineControl, thread, this.adapter.suspects(),
 				this.context, timeOfDayMs, random);
-		this.peerChannel = createPeerChannel();
+		ManagedPeerChannel peerChannel = createPeerChannel();
 		Timers timers = new TrafficTimers(thread, this.clock);
 		this.coordination = new CoordinatedPlacement(
-				new PlacementClient(this.peerChannel, timers, this.meters, random.nextLong() >>> 16), this.peerChannel,
+				new PlacementClient(peerChannel, timers, this.meters, random.nextLong() >>> 16), peerChannel,
 				this.serverRegistry, this.routes::get, this.clock::nowMs);
-		this.placementService = new PlacementService(this.peerChannel, timers, this.meters, random,
+		this.placementService = new PlacementService(peerChannel, timers, this.meters, random,
 				(service) -> this.serverRegistry.servers(service).stream().map(TrackedServer::server).toList(),
 				this::kvCapacityTokens);
+		this.allowances = new SharedAllowances(settings.allowance(), peerChannel, thread, this.clock, this.meters,
+				random);
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
 						Optional.of(this.coordination)),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
-				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
+				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs,
+				this.allowances);
 	}
 
 	private long kvCapacityTokens(String service) {
@@ -316,6 +320,7 @@
 		Optional<RoutingTable> newest = tables.values().stream().max(Comparator.comparingLong(RoutingTable::version));
 		long versionInUse = this.routes.get().map((index) -> index.table().version()).orElse(Long.MIN_VALUE);
 		newest.filter((table) -> table.version() > versionInUse).ifPresent((table) -> {
+			this.allowances.onLimits(table.allowances());
 			this.routes.set(Optional.of(new RouteIndex(table)));
 			this.coordination.onTable(table);
 			LOGGER.atInfo()
@@ -343,7 +348,7 @@
 	}
 
 	private boolean isReady() {
-		return !this.draining && this.serversKnown && this.routes.get().isPresent();
+		return !this.draining && this.serversKnown && this.routes.get().isPresent() && this.allowances.isReady();
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementService.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementService.java
@@ -94,8 +94,7 @@
 		Optional<PlacementDecision> decision = group.coordinator()
 			.onRequest(new PlacementRequest(new RequestKey(peerName, ask.number()), ask.prompt(),
 					nowMs + ask.targetLeftMs(), nowMs + ask.deadlineLeftMs(), ask.priority(), ask.splitExtraMs(),
-					ask.excludedEngines()),
-					nowMs);
+					ask.excludedEngines()), nowMs);
 		this.meters
 			.counter("anvilusher.placement.decisions", "decision",
 					decision.map((made) -> made.getClass().getSimpleName()).orElse("None"))
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -143,6 +143,10 @@
 		return promptAttempt().trackedServer;
 	}
 
+	boolean isSendStarted() {
+		return this.sendStarted;
+	}
+
 	boolean mayHaveRun() {
 		return this.sendStarted && !(this.step instanceof KvStep.Prefill);
 	}
@@ -206,7 +210,10 @@
 
 	@Override
 	public void onSending() {
-		this.sendStarted = true;
+		if (!this.sendStarted) {
+			this.sendStarted = true;
+			this.request.input().charge().onSending();
+		}
 	}
 
 	@Override
--- a/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplay.java
@@ -144,8 +144,8 @@
 		later(request.atMs() + MESSAGE_MS, (nowMs) -> {
 			this.undecided.put(request.key(), request);
 			PlacementRequest asked = new PlacementRequest(request.key(), request.prompt(),
-					(long) request.atMs() + TARGET_MS, (long) request.atMs() + DEADLINE_MS, request.priority(),
-					0, Set.of());
+					(long) request.atMs() + TARGET_MS, (long) request.atMs() + DEADLINE_MS, request.priority(), 0,
+					Set.of());
 			decided(request.key(), this.coordinator.onRequest(asked, (long) nowMs).orElseThrow(), nowMs);
 			scheduleDispatch(nowMs);
 		});
