Bound the clients of each listener: connections, heads, stalled transfers

Cause: connections of clients were not bounded, so 400 of them at any address took all descriptors of a process with 300, and ordinary clients got no answer. The readiness and metrics listeners had no time limit for heads and accepted heads of 1 MB. The memory of an upload whose connection was closed was kept until the deadline of its request.

Change: HttpListener replaces Undertow's builder, which does not show connections before their first request. Each listener has a share of the descriptors; a full one closes what ConnectionBudget selects. Heads have a share of the heap. All listeners have the same limits on heads, fields and time.

entry: the listener for callers and the admin listener have the same limits, with the settings max_descriptors and file_descriptors; request bodies use at most 40% of the heap, beyond which they get 503 memory_exhausted (not run). sidecar: the admin listener has the limits for checks.

Run: HttpListenerTests, ClientLimitTests, ServerStartTests, GatewayPathTests, OddRequestTests, UnexpectedExceptionTests, GatewayControlTests pass.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/RequestBodyReader.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/RequestBodyReader.java
@@ -4,12 +4,15 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 
+import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.Connectors;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
 import org.xnio.channels.StreamSourceChannel;
 
+import io.anvilusher.logic.admission.MemoryBudget;
+
 /**
  * Reads the body of a caller's request into memory without blocking. The memory comes
  * from the budget of the process: for a body of announced length before any of it is
@@ -23,7 +26,7 @@
 
 	private final HttpServerExchange exchange;
 
-	private final StreamingHttpClient client;
+	private final ByteBufferPool buffers;
 
 	private final Listener listener;
 
@@ -40,10 +43,23 @@
 	 */
 	public RequestBodyReader(HttpServerExchange exchange, StreamingHttpClient client, long maxBytes,
 			Listener listener) {
+		this(exchange, client.buffers(), client.memory(), maxBytes, listener);
+	}
+
+	/**
+	 * Creates a reader with a memory budget of its own; nothing is read yet.
+	 * @param exchange exchange of the request
+	 * @param buffers buffers that are read into
+	 * @param memory budget of the body's memory
+	 * @param maxBytes maximum size of the body, in bytes
+	 * @param listener receives the outcome
+	 */
+	public RequestBodyReader(HttpServerExchange exchange, ByteBufferPool buffers, MemoryBudget memory, long maxBytes,
+			Listener listener) {
 		this.exchange = exchange;
-		this.client = client;
+		this.buffers = buffers;
 		this.listener = listener;
-		this.body = new BodyBuffer(maxBytes, client.memory().open());
+		this.body = new BodyBuffer(maxBytes, memory.open());
 		exchange.addExchangeCompleteListener((ended, next) -> {
 			cancel();
 			next.proceed();
@@ -64,6 +80,7 @@
 	 */
 	public void start() {
 		if (this.exchange.isRequestComplete()) {
+			onComplete();
 			this.listener.onBody(this.body.take());
 			return;
 		}
@@ -76,6 +93,13 @@
 		readAvailable(channel).ifPresent(Runnable::run);
 	}
 
+	private void onComplete() {
+		ClientConnection connection = this.exchange.getAttachment(ClientConnection.KEY);
+		if (connection != null) {
+			connection.onBody();
+		}
+	}
+
 	/**
 	 * Stops reading and gives the memory back.
 	 */
@@ -116,7 +140,7 @@
 	}
 
 	private Optional<Runnable> read(StreamSourceChannel channel) throws IOException {
-		try (PooledByteBuffer pooled = this.client.allocate()) {
+		try (PooledByteBuffer pooled = this.buffers.allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
 			for (int readBytes = 0; readBytes < MAX_BYTES_PER_TURN;) {
 				buffer.clear();
@@ -127,6 +151,7 @@
 				}
 				if (count < 0) {
 					byte[] complete = this.body.take();
+					onComplete();
 					return Optional.of(() -> this.listener.onBody(complete));
 				}
 				buffer.flip();
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ServerStart.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ServerStart.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import io.undertow.Undertow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,22 +27,21 @@
 
 	/**
 	 * Starts a server; waits while its address is in use.
-	 * @param build builds the server; called for each attempt
+	 * @param <S> type of the server
+	 * @param start starts the server; called for each attempt
 	 * @param address the address that the server listens at
 	 * @param maxWaitMs longest wait for the address, in ms
 	 * @return the running server
 	 * @throws BindException if the address is still in use after that time
 	 * @throws IOException if the thread is interrupted while it waits
 	 */
-	public static Undertow whenAddressIsFree(Supplier<Undertow> build, InetSocketAddress address, long maxWaitMs)
+	public static <S> S whenAddressIsFree(Supplier<S> start, InetSocketAddress address, long maxWaitMs)
 			throws IOException {
 		long startMs = MonotonicClock.SYSTEM.nowMs();
 		boolean logged = false;
 		while (true) {
-			Undertow server = build.get();
 			try {
-				server.start();
-				return server;
+				return start.get();
 			}
 			catch (RuntimeException ex) {
 				if (!(ex.getCause() instanceof BindException bindFailure)) {
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -269,6 +269,10 @@
 		return this.memory;
 	}
 
+	ByteBufferPool buffers() {
+		return this.buffers;
+	}
+
 	PooledByteBuffer allocate() {
 		return this.buffers.allocate();
 	}
--- a/adapters/src/main/java/io/anvilusher/adapters/metrics/AdminServer.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/metrics/AdminServer.java
@@ -8,10 +8,16 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 
+import io.anvilusher.adapters.http.HttpListener;
+import io.anvilusher.adapters.http.HttpListener.ListenerOptions;
+import io.anvilusher.adapters.http.ListenerLimits;
 import io.anvilusher.adapters.http.ServerStart;
 
 /**
@@ -24,40 +30,54 @@
 
 	private static final int NOT_FOUND = 404;
 
-	private final Undertow undertow;
+	private final HttpListener listener;
 
-	private AdminServer(Undertow undertow) {
-		this.undertow = undertow;
+	private final XnioWorker worker;
+
+	private AdminServer(HttpListener listener, XnioWorker worker) {
+		this.listener = listener;
+		this.worker = worker;
 	}
 
 	/**
 	 * Starts the server.
 	 * @param address address to listen on; port 0 selects a free port
+	 * @param limits limits on the clients
 	 * @param meters meters served by {@code /metrics}
 	 * @param ready returns whether the process accepts work
 	 * @param status returns the status of the process as JSON
 	 * @return the running server
 	 * @throws UncheckedIOException if the server cannot listen at the address
 	 */
-	public static AdminServer start(InetSocketAddress address, Meters meters, BooleanSupplier ready,
-			Supplier<String> status) {
+	public static AdminServer start(InetSocketAddress address, ListenerLimits limits, Meters meters,
+			BooleanSupplier ready, Supplier<String> status) {
+		XnioWorker worker = createWorker();
 		try {
-			return new AdminServer(
-					ServerStart.whenAddressIsFree(() -> build(address, meters, ready, status), address, 0));
+			return new AdminServer(ServerStart.whenAddressIsFree(() -> HttpListener.start(address, worker, limits,
+					ListenerOptions.NONE, meters, (exchange) -> handle(exchange, meters, ready, status)), address, 0),
+					worker);
 		}
 		catch (IOException ex) {
+			worker.shutdown();
 			throw new UncheckedIOException(ex);
 		}
 	}
 
-	private static Undertow build(InetSocketAddress address, Meters meters, BooleanSupplier ready,
-			Supplier<String> status) {
-		return Undertow.builder()
-			.addHttpListener(address.getPort(), address.getAddress().getHostAddress())
-			.setIoThreads(1)
-			.setWorkerThreads(1)
-			.setHandler((exchange) -> handle(exchange, meters, ready, status))
-			.build();
+	private static XnioWorker createWorker() {
+		try {
+			return Xnio.getInstance()
+				.createWorker(OptionMap.builder()
+					.set(Options.WORKER_IO_THREADS, 1)
+					.set(Options.WORKER_NAME, "admin")
+					.set(Options.WORKER_TASK_CORE_THREADS, 1)
+					.set(Options.WORKER_TASK_MAX_THREADS, 1)
+					.set(Options.TCP_NODELAY, true)
+					.set(Options.THREAD_DAEMON, true)
+					.getMap());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("Cannot start the thread of the metrics", ex);
+		}
 	}
 
 	private static void handle(HttpServerExchange exchange, Meters meters, BooleanSupplier ready,
@@ -84,12 +104,13 @@
 	 * @return the port
 	 */
 	public int port() {
-		return ((InetSocketAddress) this.undertow.getListenerInfo().get(0).getAddress()).getPort();
+		return this.listener.port();
 	}
 
 	@Override
 	public void close() {
-		this.undertow.stop();
+		this.listener.close();
+		this.worker.shutdown();
 	}
 
 }
--- a/adapters/src/main/java/io/anvilusher/adapters/metrics/Meters.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/metrics/Meters.java
@@ -86,9 +86,10 @@
 	 * @param name name of the gauge
 	 * @param object observed object, to which a strong reference is kept
 	 * @param value returns the current value of the gauge
+	 * @param tags alternating names and values of its tags
 	 */
-	public <T> void gauge(String name, T object, ToDoubleFunction<T> value) {
-		Gauge.builder(name, object, value).strongReference(true).register(this.registry);
+	public <T> void gauge(String name, T object, ToDoubleFunction<T> value, String... tags) {
+		Gauge.builder(name, object, value).tags(tags).strongReference(true).register(this.registry);
 	}
 
 	/**
--- a/adapters/src/test/java/io/anvilusher/adapters/http/ServerStartTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/ServerStartTests.java
@@ -26,17 +26,22 @@
 			.count();
 	}
 
+	private static Undertow started(Undertow server) {
+		server.start();
+		return server;
+	}
+
 	@Test
 	public void namesTheAddressThatStaysInUseAndLeavesNoThreads() throws IOException, InterruptedException {
 		try (ServerSocket user = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			InetSocketAddress address = new InetSocketAddress("127.0.0.1", user.getLocalPort());
 			long before = threads();
 			BindException failure = expectThrows(BindException.class,
-					() -> ServerStart.whenAddressIsFree(() -> Undertow.builder()
+					() -> ServerStart.whenAddressIsFree(() -> started(Undertow.builder()
 						.setIoThreads(1)
 						.setWorkerThreads(1)
 						.addHttpListener(address.getPort(), "127.0.0.1")
-						.build(), address, 500));
+						.build()), address, 500));
 			assertTrue(failure.getMessage().contains("127.0.0.1:" + address.getPort()), failure.getMessage());
 			Thread.sleep(300);
 			assertEquals(threads(), before);
--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -19,6 +19,7 @@
 import io.anvilusher.adapters.control.RecordFeed;
 import io.anvilusher.adapters.control.RecordSubscription;
 import io.anvilusher.adapters.http.BufferingHttpClient;
+import io.anvilusher.adapters.http.ListenerLimits;
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
@@ -41,6 +42,7 @@
 import io.anvilusher.entry.fleet.FleetWatcher;
 import io.anvilusher.entry.http.CallerHttpServer;
 import io.anvilusher.entry.http.RequestFilters;
+import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.fold.ControlState;
 import io.anvilusher.logic.fold.KeyState;
 import io.anvilusher.logic.routing.PrefixAffinePicker;
@@ -135,13 +137,19 @@
 				new UsageReports(platformHttp, settings.platform(), PLATFORM_TIMEOUT_MS), this.peers::findEntry);
 		this.freshness = new ControlFreshness(this.follower, subscription, this.fleet::hasOtherEntries);
 		this.follower.addListener(this::onState);
-		this.callerServer = new CallerHttpServer(settings, RequestFilters.chain(settings,
-				() -> this.follower.state().keys(), this.peers::isWithdrawn, this.freshness, this.dispatcher),
+		MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
+		this.meters.gauge("anvilusher.memory.held.bytes", memory, MemoryBudget::heldBytes);
+		this.meters.gauge("anvilusher.memory.refusals", memory, MemoryBudget::refusals);
+		this.callerServer = new CallerHttpServer(settings,
+				RequestFilters.chain(settings, () -> this.follower.state().keys(), this.peers::isWithdrawn,
+						this.freshness, this.dispatcher, memory),
 				() -> this.configuration, MonotonicClock.SYSTEM, this.meters);
 		this.peerServer = PeerServer.start(this.peerIoGroup, settings.peerAddress(), hello, PeerTiming.DEFAULT,
 				this.peers);
-		this.admin = AdminServer.start(settings.adminAddress(), this.meters, this::isReady, () -> EntryStatus
-			.write(this.identity, this.follower, this.directory, this.dispatcher, this.fleet, this.plane));
+		this.admin = AdminServer.start(settings.adminAddress(),
+				ListenerLimits.ofChecks("admin", settings.shares().metrics()), this.meters, this::isReady,
+				() -> EntryStatus.write(this.identity, this.follower, this.directory, this.dispatcher, this.fleet,
+						this.plane));
 		subscription.start();
 	}
 
--- a/entry/src/main/java/io/anvilusher/entry/EntrySettings.java
+++ b/entry/src/main/java/io/anvilusher/entry/EntrySettings.java
@@ -4,8 +4,10 @@
 import java.net.URI;
 
 import io.anvilusher.adapters.json.ObjectReader;
+import io.anvilusher.adapters.process.DescriptorLimit;
 import io.anvilusher.adapters.process.SocketAddresses;
 import io.anvilusher.entry.controller.ControlPlane.ControlSettings;
+import io.anvilusher.logic.admission.DescriptorShares;
 import io.anvilusher.logic.lease.LeaseTiming;
 
 /**
@@ -25,10 +27,13 @@
  * which the load balancer can notice the change
  * @param drainTimeoutMs longest time to wait for active requests during the drain
  * @param control timing of the controllers
+ * @param maxDescriptors maximum number of open descriptors of the process
+ * @param fileDescriptors descriptors that are kept for files
  */
 public record EntrySettings(String process, String dataCentre, InetSocketAddress httpAddress,
 		InetSocketAddress peerAddress, InetSocketAddress adminAddress, URI platform, long maxBodyBytes,
-		int maxHeadBytes, int callerTimeoutMs, long drainNoticeMs, long drainTimeoutMs, ControlSettings control) {
+		int maxHeadBytes, int callerTimeoutMs, long drainNoticeMs, long drainTimeoutMs, ControlSettings control,
+		int maxDescriptors, int fileDescriptors) {
 
 	private static final long DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 
@@ -36,6 +41,8 @@
 
 	private static final int DEFAULT_MAX_HEAD_BYTES = 32 * 1024;
 
+	private static final int DEFAULT_FILE_DESCRIPTORS = 200;
+
 	private static final int DEFAULT_CALLER_TIMEOUT_MS = 10_000;
 
 	private static final long MAX_DURATION_MS = 86_400_000;
@@ -51,6 +58,17 @@
 	 * @return the settings
 	 */
 	public static EntrySettings read(ObjectReader reader) {
+		int processLimit = DescriptorLimit.current();
+		int maxDescriptors = Math.min(processLimit,
+				(int) reader.wholeNumber("max_descriptors", 1, Integer.MAX_VALUE, processLimit));
+		int fileDescriptors = (int) reader.wholeNumber("file_descriptors", 1, Integer.MAX_VALUE,
+				DEFAULT_FILE_DESCRIPTORS);
+		if (maxDescriptors - fileDescriptors < DescriptorShares.MIN_SOCKETS) {
+			reader.problem("max_descriptors",
+					"\"max_descriptors\" or the limit of the operating system is " + maxDescriptors + ", of which "
+							+ fileDescriptors + " are kept for files (\"file_descriptors\"); at least "
+							+ DescriptorShares.MIN_SOCKETS + " must be left for connections");
+		}
 		return new EntrySettings(reader.text("process"), reader.text("data_centre"),
 				SocketAddresses.read(reader, "http_address"), SocketAddresses.read(reader, "peer_address"),
 				SocketAddresses.read(reader, "admin_address"), SocketAddresses.readTarget(reader, "platform"),
@@ -59,7 +77,16 @@
 				(int) reader.wholeNumber("caller_timeout_ms", 100, MAX_DURATION_MS, DEFAULT_CALLER_TIMEOUT_MS),
 				reader.wholeNumber("drain_notice_ms", 0, MAX_DURATION_MS, 2000),
 				reader.wholeNumber("drain_timeout_ms", 0, MAX_DURATION_MS, 600_000),
-				reader.object("control", EntrySettings::readControl).orElse(DEFAULT_CONTROL));
+				reader.object("control", EntrySettings::readControl).orElse(DEFAULT_CONTROL), maxDescriptors,
+				fileDescriptors);
+	}
+
+	/**
+	 * Returns how the descriptors are divided between the listeners.
+	 * @return the shares
+	 */
+	public DescriptorShares shares() {
+		return DescriptorShares.of(this.maxDescriptors, this.fileDescriptors);
 	}
 
 	private static ControlSettings readControl(ObjectReader reader) {
--- a/entry/src/main/java/io/anvilusher/entry/http/CallerHttpServer.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/CallerHttpServer.java
@@ -1,17 +1,24 @@
 package io.anvilusher.entry.http;
 
-import java.net.InetSocketAddress;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-import io.undertow.Undertow;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
+import org.jspecify.annotations.Nullable;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
 
 import io.anvilusher.adapters.http.ActiveRequests;
-import io.anvilusher.adapters.http.CallerServers;
+import io.anvilusher.adapters.http.HttpListener;
+import io.anvilusher.adapters.http.HttpListener.ListenerOptions;
+import io.anvilusher.adapters.http.ListenerLimits;
+import io.anvilusher.adapters.http.ListenerLimits.RequestLimits;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.entry.EntrySettings;
@@ -41,7 +48,11 @@
 	/** Time after the start of a drain from which on new requests are refused. */
 	private static final long DRAIN_REFUSE_AFTER_MS = 10_000;
 
-	private final Undertow undertow;
+	private final EntrySettings settings;
+
+	private final XnioWorker worker;
+
+	private volatile @Nullable HttpListener listener;
 
 	private final FilterChain chain;
 
@@ -72,24 +83,46 @@
 		this.clock = clock;
 		this.meters = meters;
 		this.activeRequests = new ActiveRequests(meters);
-		this.undertow = CallerServers
-			.builder(settings.httpAddress(),
-					new CallerServers.Limits(settings.maxHeadBytes(), settings.maxBodyBytes(),
-							settings.callerTimeoutMs(), IDLE_CONNECTION_TIMEOUT_MS),
-					ACCEPT_BACKLOG)
-			.setIoThreads(IO_THREADS)
-			.setWorkerThreads(WORKER_THREADS)
-			.setSocketOption(Options.READ_TIMEOUT, settings.callerTimeoutMs())
-			.setSocketOption(Options.WRITE_TIMEOUT, settings.callerTimeoutMs())
-			.setHandler(this::handle)
-			.build();
+		this.settings = settings;
+		this.worker = createWorker();
+	}
+
+	private static XnioWorker createWorker() {
+		try {
+			return Xnio.getInstance()
+				.createWorker(OptionMap.builder()
+					.set(Options.WORKER_IO_THREADS, IO_THREADS)
+					.set(Options.WORKER_NAME, "callers")
+					.set(Options.WORKER_TASK_CORE_THREADS, WORKER_THREADS)
+					.set(Options.WORKER_TASK_MAX_THREADS, WORKER_THREADS)
+					.set(Options.TCP_NODELAY, true)
+					.getMap());
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("Cannot start the threads of the HTTP server", ex);
+		}
+	}
+
+	private static ListenerLimits limits(EntrySettings settings) {
+		return new ListenerLimits("callers", settings.shares().callers(),
+				(long) (Runtime.getRuntime().maxMemory() * ListenerLimits.CALLER_HEAD_HEAP_SHARE),
+				new RequestLimits(settings.maxHeadBytes(), RequestLimits.DEFAULT_HEAD_FIELDS,
+						RequestLimits.DEFAULT_QUERY_PARAMETERS, settings.maxBodyBytes()),
+				settings.callerTimeoutMs(), IDLE_CONNECTION_TIMEOUT_MS, ListenerLimits.DEFAULT_STALLED_TIMEOUT_MS);
 	}
 
 	/**
 	 * Starts to accept connections.
 	 */
 	public void start() {
-		this.undertow.start();
+		ListenerOptions options = new ListenerOptions(OptionMap.EMPTY,
+				OptionMap.builder()
+					.set(Options.BACKLOG, ACCEPT_BACKLOG)
+					.set(Options.READ_TIMEOUT, this.settings.callerTimeoutMs())
+					.set(Options.WRITE_TIMEOUT, this.settings.callerTimeoutMs())
+					.getMap());
+		this.listener = HttpListener.start(this.settings.httpAddress(), this.worker, limits(this.settings), options,
+				this.meters, this::handle);
 	}
 
 	/**
@@ -97,7 +130,15 @@
 	 * @return the port, also if the configured port is 0
 	 */
 	public int port() {
-		return ((InetSocketAddress) this.undertow.getListenerInfo().get(0).getAddress()).getPort();
+		return started().port();
+	}
+
+	private HttpListener started() {
+		HttpListener current = this.listener;
+		if (current == null) {
+			throw new IllegalStateException("The server is not started");
+		}
+		return current;
 	}
 
 	private void handle(HttpServerExchange http) {
@@ -153,7 +194,8 @@
 	 * Closes all connections.
 	 */
 	public void stop() {
-		this.undertow.stop();
+		started().close();
+		this.worker.shutdown();
 	}
 
 }
--- a/entry/src/main/java/io/anvilusher/entry/http/RequestFilters.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/RequestFilters.java
@@ -7,6 +7,7 @@
 import io.anvilusher.entry.EntrySettings;
 import io.anvilusher.entry.KeyFreshness;
 import io.anvilusher.entry.dispatch.Dispatcher;
+import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.fold.KeyState;
 
 /**
@@ -26,12 +27,13 @@
 	 * @param freshness returns whether the known keys are recent enough to accept
 	 * requests
 	 * @param dispatcher accepts the requests that have passed all filters
+	 * @param memory budget of the memory of request bodies
 	 * @return the chain
 	 */
 	public static FilterChain chain(EntrySettings settings, Supplier<KeyState> keys, Predicate<String> isWithdrawn,
-			KeyFreshness freshness, Dispatcher dispatcher) {
+			KeyFreshness freshness, Dispatcher dispatcher, MemoryBudget memory) {
 		return new FilterChain(List.of(new HeadFilter(), new RouteFilter(), new KeyFilter(keys, isWithdrawn, freshness),
-				new BodyFilter(settings.maxBodyBytes()), new ChatFilter(), new AccessFilter(),
+				new BodyFilter(settings.maxBodyBytes(), memory), new ChatFilter(), new AccessFilter(),
 				new WorkspaceLimitFilter(), new DispatchFilter(dispatcher)));
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -206,8 +206,9 @@
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
-		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
-				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs);
+		this.httpServer = new GatewayHttpServer(settings.callerAddress(), settings.clients().callers(), this.worker,
+				this.adapter.format(), dispatcher, this.routes::get, this.clock, this.meters, random,
+				this.lagMonitor::currentLagMs);
 	}
 
 	/**
@@ -223,7 +224,7 @@
 		gateway.httpServer.start(LISTEN_WAIT_MS);
 		gateway.lagMonitor.start();
 		ReadinessServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady,
-				LISTEN_WAIT_MS);
+				settings.clients().readiness(), gateway.meters, LISTEN_WAIT_MS);
 		gateway.startAdminServer();
 		// The first calls to the store are made only now, after this thread has loaded
 		// the classes needed for the start.
@@ -241,7 +242,8 @@
 	// Callers are served without metrics as well.
 	private void startAdminServer() {
 		try {
-			AdminServer.start(this.settings.metricsAddress(), this.meters, this::isReady, this::status);
+			AdminServer.start(this.settings.metricsAddress(), this.settings.clients().metrics(), this.meters,
+					this::isReady, this::status);
 			LOGGER.info("Metrics are at {}", this.settings.metricsAddress());
 		}
 		catch (UncheckedIOException ex) {
--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -26,11 +26,12 @@
  * without renewal, in ms
  * @param drainMs time after which a draining server must get no new requests, in ms
  * @param catchUpMs time in ms until the newest state must be in use after an outage
+ * @param clients limits on clients
  */
 public record GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties, long graceMs,
 		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs, long drainMs,
-		long catchUpMs) {
+		long catchUpMs, ClientSettings clients) {
 
 	private static final long MAX_MS = 3_600_000;
 
@@ -49,7 +50,7 @@
 				seconds(reader, "graceS"), reader.number("retryRatio", 0, 1, 0), seconds(reader, "retryWindowS"),
 				seconds(reader, "usageWindowS"), seconds(reader, "usageLateS"),
 				reader.wholeNumber("leaseMs", 1, MAX_MS, 3_000), reader.wholeNumber("drainMs", 1, MAX_MS, 2_000),
-				seconds(reader, "catchUpS"));
+				seconds(reader, "catchUpS"), ClientSettings.read(reader));
 	}
 
 	private static long seconds(ObjectReader reader, String field) {
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -14,7 +14,6 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
@@ -24,12 +23,17 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
 import io.anvilusher.adapters.http.ActiveRequests;
 import io.anvilusher.adapters.http.BodyBuffer;
-import io.anvilusher.adapters.http.CallerServers;
+import io.anvilusher.adapters.http.CallerDisconnectListener;
+import io.anvilusher.adapters.http.HttpListener;
+import io.anvilusher.adapters.http.HttpListener.ListenerOptions;
+import io.anvilusher.adapters.http.ListenerLimits;
 import io.anvilusher.adapters.http.RequestBodyReader;
 import io.anvilusher.adapters.http.ServerStart;
 import io.anvilusher.adapters.metrics.Meters;
@@ -55,29 +59,9 @@
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(GatewayHttpServer.class);
 
-	/**
-	 * Idle timeout of connections; longer than callers keep idle connections open.
-	 */
-	private static final int IDLE_TIMEOUT_MS = 120_000;
-
-	/**
-	 * Timeout for receiving the headers of a request; twice the limit that operators
-	 * usually configure.
-	 */
-	private static final int HEADERS_TIMEOUT_MS = 10_000;
-
 	/** Length of the queue of connections that are not yet accepted. */
 	private static final int ACCEPT_BACKLOG = 1_024;
 
-	/**
-	 * Maximum size of a request's headers; four times the limit that operators usually
-	 * configure.
-	 */
-	private static final int MAX_HEADERS_BYTES = 64 * 1024;
-
-	/** Maximum size of a request body; the routing table may set a lower limit. */
-	private static final long MAX_BODY_BYTES = 64L * 1024 * 1024;
-
 	/**
 	 * Retry-After delay while no routing table has been read: the time of one read of the
 	 * store.
@@ -111,6 +95,8 @@
 
 	private final InetSocketAddress address;
 
+	private final ListenerLimits limits;
+
 	private final XnioWorker worker;
 
 	private final WireFormat format;
@@ -138,6 +124,7 @@
 	/**
 	 * Creates the server; it listens only after {@link #start(long)}.
 	 * @param address address to listen at
+	 * @param limits limits on the clients
 	 * @param worker the worker that runs the traffic thread
 	 * @param format header and body formats of the deployment
 	 * @param dispatcher handles the accepted requests
@@ -147,9 +134,9 @@
 	 * @param random selects a service by the weights of a route's traffic split
 	 * @param lagMs returns how late the traffic thread is now, in ms
 	 */
-	public GatewayHttpServer(InetSocketAddress address, XnioWorker worker, WireFormat format, Dispatcher dispatcher,
-			Supplier<Optional<RouteIndex>> routes, MonotonicClock clock, Meters meters, RandomGenerator random,
-			LongSupplier lagMs) {
+	public GatewayHttpServer(InetSocketAddress address, ListenerLimits limits, XnioWorker worker, WireFormat format,
+			Dispatcher dispatcher, Supplier<Optional<RouteIndex>> routes, MonotonicClock clock, Meters meters,
+			RandomGenerator random, LongSupplier lagMs) {
 		this.format = format;
 		this.dispatcher = dispatcher;
 		this.routes = routes;
@@ -160,6 +147,7 @@
 		this.activeRequests = new ActiveRequests(meters);
 		this.thread = worker.getIoThread();
 		this.address = address;
+		this.limits = limits;
 		this.worker = worker;
 	}
 
@@ -169,19 +157,15 @@
 	 * @throws IOException if the server cannot listen at its address
 	 */
 	public void start(long maxWaitMs) throws IOException {
-		ServerStart.whenAddressIsFree(this::build, this.address, maxWaitMs);
+		ServerStart.whenAddressIsFree(this::listen, this.address, maxWaitMs);
 	}
 
-	private Undertow build() {
-		return CallerServers
-			.builder(this.address,
-					new CallerServers.Limits(MAX_HEADERS_BYTES, MAX_BODY_BYTES, HEADERS_TIMEOUT_MS, IDLE_TIMEOUT_MS),
-					ACCEPT_BACKLOG)
-			.setWorker(this.worker)
-			.setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-			.setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
-			.setHandler(this::handle)
-			.build();
+	private HttpListener listen() {
+		ListenerOptions options = new ListenerOptions(OptionMap.builder()
+			.set(UndertowOptions.ALWAYS_SET_DATE, false)
+			.set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+			.getMap(), OptionMap.create(Options.BACKLOG, ACCEPT_BACKLOG));
+		return HttpListener.start(this.address, this.worker, this.limits, options, this.meters, this::handle);
 	}
 
 	private void handle(HttpServerExchange exchange) {
@@ -364,6 +348,7 @@
 			this.cancelReading = reader::cancel;
 			GatewayHttpServer server = GatewayHttpServer.this;
 			server.unreadRequests.add(this);
+			CallerDisconnectListener.of(this.exchange.getConnection()).set(() -> guard(this::onClosed));
 			this.cancelTimeout = server.thread.executeAfter(
 					() -> guard(() -> refuseUnread(RefusalReason.CALLER_TOO_SLOW, OptionalLong.empty())),
 					Math.max(0, this.timeoutAtMs - server.clock.nowMs()), TimeUnit.MILLISECONDS)::remove;
@@ -383,8 +368,19 @@
 			});
 		}
 
+		// Otherwise the memory of the body would be held until its deadline.
+		private void onClosed() {
+			if (end()) {
+				this.cancelReading.run();
+				this.exchange.endExchange();
+			}
+		}
+
 		private boolean end() {
 			boolean first = !this.ended;
+			if (first) {
+				CallerDisconnectListener.of(this.exchange.getConnection()).clear();
+			}
 			this.ended = true;
 			this.cancelTimeout.run();
 			GatewayHttpServer.this.unreadRequests.remove(this);
--- a/review/harness/GatewayProcess.java
+++ b/review/harness/GatewayProcess.java
@@ -37,7 +37,7 @@
                 .replace("{{bounds.retry_budget_ratio|json}}", "0.2").replace("{{bounds.budget_window_s|json}}", "10")
                 .replace("{{bounds.usage_window_s|json}}", "5").replace("{{bounds.usage_late_s|json}}", "10")
                 .replace("{{bounds.lease_ms|json}}", "3000").replace("{{bounds.drain_ms|json}}", "2000")
-                .replace("{{bounds.catch_up_s|json}}", "4");
+                .replace("{{bounds.catch_up_s|json}}", "4").replaceAll("(?s)\\{\\{#limits.max_fds}}.*\\{\\{/limits.max_fds}}", "");
         if (settings.contains("{{")) {
             throw new IOException("a placeholder of platform/settings.json is not known to the harness");
         }
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -18,6 +18,7 @@
 import io.anvilusher.adapters.control.RecordAppender;
 import io.anvilusher.adapters.control.RecordSubscription;
 import io.anvilusher.adapters.http.BufferingHttpClient;
+import io.anvilusher.adapters.http.ListenerLimits;
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.AdminServer;
 import io.anvilusher.adapters.metrics.Meters;
@@ -60,6 +61,9 @@
 
 	private static final long RECORDS_POLL_MS = 3000;
 
+	/** Monitoring systems need one connection each. */
+	private static final int MAX_ADMIN_CONNECTIONS = 64;
+
 	private static final long CRASH_APPEND_TIMEOUT_MS = 60_000;
 
 	/** Time for the entries to be notified of the drain before connections are closed. */
@@ -128,7 +132,8 @@
 			.setService(settings.service())
 			.build();
 		this.peerServer = PeerServer.start(this.group, settings.peerAddress(), hello, PeerTiming.DEFAULT, this);
-		this.adminServer = AdminServer.start(settings.adminAddress(), this.meters,
+		this.adminServer = AdminServer.start(settings.adminAddress(),
+				ListenerLimits.ofChecks("admin", MAX_ADMIN_CONNECTIONS), this.meters,
 				() -> this.gate.snapshot().reachable(), this::status);
 	}
 
