Tests of attacks on a gateway with little memory; attacks usable by other modules

UntrustedClientMemoryTests runs nine of the attacks at each target with 1,200 clients, 2,212 descriptors, a heap of 72 MB and 32 MB of direct memory. ClientCrowd and ClientAttack (the attacks of the tests before, unchanged) are in proofs now, so that the tests of entry can use them.

--- a/platform/src/test/java/io/anvilusher/platform/ClientCrowd.java
+++ b/proofs/src/main/java/io/anvilusher/proofs/ClientCrowd.java
@@ -1,4 +1,4 @@
-package io.anvilusher.platform;
+package io.anvilusher.proofs;
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -14,7 +14,7 @@
  * Many clients on one thread that send the same bytes at the same pace, each on a
  * connection of its own. A client whose connection is closed connects again.
  */
-final class ClientCrowd implements AutoCloseable {
+public final class ClientCrowd implements AutoCloseable {
 
 	private static final long TURN_MS = 10;
 
@@ -31,9 +31,13 @@
 
 	private volatile boolean closed;
 
-	private volatile int connected;
-
-	ClientCrowd(int port, int size, Script script) {
+	/**
+	 * Starts the clients.
+	 * @param port port on the loopback interface that they connect to
+	 * @param size number of clients
+	 * @param script what each of them sends
+	 */
+	public ClientCrowd(int port, int size, Script script) {
 		this.address = new InetSocketAddress("127.0.0.1", port);
 		this.script = script;
 		this.clients = Stream.generate(Client::new).limit(size).toList();
@@ -46,17 +50,23 @@
 		ByteBuffer sink = ByteBuffer.allocateDirect(64 * 1024);
 		while (!this.closed) {
 			this.clients.forEach((client) -> client.turn(sink));
-			this.connected = (int) this.clients.stream().filter(Client::isConnected).count();
-			GatewayProcessFixture.pause(TURN_MS);
+			pause();
 		}
 		this.clients.forEach(Client::close);
 	}
 
-	/** Returns the number of clients that have a connection now. */
-	int connected() {
-		return this.connected;
+	private static void pause() {
+		try {
+			Thread.sleep(TURN_MS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
 	}
 
+	/**
+	 * Closes all connections and waits until the clients have ended.
+	 */
 	@Override
 	public void close() {
 		this.closed = true;
@@ -78,7 +88,7 @@
 	 * @param bytesPerTurn maximum number of bytes sent in 10 ms
 	 * @param reads whether the client reads responses
 	 */
-	record Script(byte[] start, byte[] repeated, int repeats, int bytesPerTurn, boolean reads) {
+	public record Script(byte[] start, byte[] repeated, int repeats, int bytesPerTurn, boolean reads) {
 
 	}
 
@@ -92,11 +102,6 @@
 
 		private int waitTurns;
 
-		boolean isConnected() {
-			SocketChannel current = this.channel;
-			return current != null && current.isConnected();
-		}
-
 		void turn(ByteBuffer sink) {
 			if (this.waitTurns > 0) {
 				this.waitTurns--;
