Limit pipelined requests and the chunks that are read at a time

Cause: 1,200 clients that send requests ahead, or chunks of one byte, keep the traffic thread busy for seconds, so that all requests are refused.

Change: a connection with more than 8 pipelined requests within a second (maxPipelined) is closed before the next one is handled. Only requests that had arrived before the response to the previous one was complete count. At most 64 chunks of a body are read at a time. The readiness and metrics listeners close connections of requests with a body, in place of draining it.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientConnection.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientConnection.java
@@ -24,6 +24,8 @@
 
 	static final AttachmentKey<ClientConnection> KEY = AttachmentKey.create(ClientConnection.class);
 
+	private static final long PIPELINED_WINDOW_MS = 1_000;
+
 	private final StreamConnection channel;
 
 	private final ClientConnections connections;
@@ -36,6 +38,10 @@
 
 	private @Nullable HttpServerExchange exchange;
 
+	private long pipelinedSinceMs;
+
+	private int pipelinedCount;
+
 	ClientConnection(StreamConnection channel, ClientConnections connections) {
 		this.channel = channel;
 		this.connections = connections;
@@ -59,10 +65,26 @@
 		return this.lastReceivedMs;
 	}
 
-	void onHead(HttpServerExchange started) {
+	/**
+	 * Records that a request has started.
+	 * @param started exchange of the request
+	 * @return number of requests within the last second that had arrived before the
+	 * response to the previous one was complete
+	 */
+	int onHead(HttpServerExchange started) {
+		long nowMs = this.connections.nowMs();
+		if (nowMs - this.pipelinedSinceMs >= PIPELINED_WINDOW_MS) {
+			this.pipelinedSinceMs = nowMs;
+			this.pipelinedCount = 0;
+		}
+		// Nothing was received since the previous request ended.
+		if (this.stage == Stage.IDLE) {
+			this.pipelinedCount++;
+		}
 		this.exchange = started;
 		started.putAttachment(KEY, this);
 		move(started.isRequestComplete() ? Stage.IN_PROGRESS : Stage.BODY);
+		return this.pipelinedCount;
 	}
 
 	void onBody() {
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientConnections.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientConnections.java
@@ -21,6 +21,7 @@
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.logic.admission.ConnectionBudget;
+import io.anvilusher.logic.admission.ConnectionBudget.Limit;
 import io.anvilusher.logic.admission.ConnectionBudget.Stage;
 import io.anvilusher.logic.admission.ConnectionBudget.Victim;
 
@@ -126,12 +127,18 @@
 			if (connection == null || !connection.channel().isOpen()) {
 				return;
 			}
-			connection.onHead(exchange);
+			int pipelined = connection.onHead(exchange);
 			exchange.addExchangeCompleteListener((ended, rest) -> {
 				connection.onEnd();
 				this.budget.resizeHead(connection, 0);
 				rest.proceed();
 			});
+			if (pipelined > this.limits.request().maxPipelined()) {
+				reject(connection, Limit.PIPELINED);
+			}
+			else if (this.limits.request().maxBodyBytes() == 0 && !exchange.isRequestComplete()) {
+				reject(connection, Limit.BODY_SIZE);
+			}
 			closeAll(this.budget.resizeHead(connection, parsedBytes(connection, exchange)));
 			if (connection.channel().isOpen()) {
 				next.handleRequest(exchange);
@@ -139,6 +146,12 @@
 		};
 	}
 
+	// The request has not been handed to a handler, so it is not sent to a server.
+	private void reject(ClientConnection connection, Limit limit) {
+		this.budget.remove(connection);
+		countAndClose(new Victim<>(connection, Stage.HEAD, limit));
+	}
+
 	private @Nullable ClientConnection connectionOf(HttpServerExchange exchange) {
 		return (exchange.getConnection() instanceof AbstractServerConnection connection)
 				? this.byChannel.get(connection.getChannel()) : null;
@@ -210,12 +223,16 @@
 			this.budget.restore(connection, nowMs()).ifPresent(this::close);
 			return;
 		}
+		countAndClose(victim);
+	}
+
+	private void countAndClose(Victim<ClientConnection> victim) {
 		this.meters
 			.counter("anvilusher.client.closed", "listener", this.limits.listener(), "limit", label(victim.limit()),
 					"stage", label(victim.stage()))
 			.increment();
 		log(victim);
-		connection.close();
+		victim.connection().close();
 	}
 
 	private void log(Victim<ClientConnection> victim) {
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ListenerLimits.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ListenerLimits.java
@@ -30,8 +30,8 @@
 	/** Idle timeout of the connections of load balancers and monitoring systems. */
 	private static final int CHECK_IDLE_TIMEOUT_MS = 60_000;
 
-	/** Checks have no body; a small one is read and ignored. */
-	private static final long CHECK_MAX_BODY_BYTES = 64 * 1024;
+	/** Checks have no body. */
+	private static final long CHECK_MAX_BODY_BYTES = 0;
 
 	/**
 	 * Checks the limits.
@@ -54,7 +54,7 @@
 		return new ListenerLimits(listener, maxConnections,
 				(long) (Runtime.getRuntime().maxMemory() * CHECK_HEAD_HEAP_SHARE),
 				new RequestLimits(RequestLimits.DEFAULT_HEAD_BYTES, RequestLimits.DEFAULT_HEAD_FIELDS,
-						RequestLimits.DEFAULT_QUERY_PARAMETERS, CHECK_MAX_BODY_BYTES),
+						RequestLimits.DEFAULT_QUERY_PARAMETERS, CHECK_MAX_BODY_BYTES, RequestLimits.DEFAULT_PIPELINED),
 				DEFAULT_HEAD_TIMEOUT_MS, CHECK_IDLE_TIMEOUT_MS, DEFAULT_STALLED_TIMEOUT_MS);
 	}
 
@@ -64,13 +64,20 @@
 	 * @param maxHeadBytes maximum size of the head, in bytes
 	 * @param maxHeadFields maximum number of header fields
 	 * @param maxQueryParameters maximum number of query parameters
-	 * @param maxBodyBytes maximum size of the body, in bytes
+	 * @param maxBodyBytes maximum size of the body, in bytes; 0 if the connection of a
+	 * request with a body is closed
+	 * @param maxPipelined maximum number of requests of a connection within a second that
+	 * arrive before the response to the previous one is complete
 	 */
-	public record RequestLimits(int maxHeadBytes, int maxHeadFields, int maxQueryParameters, long maxBodyBytes) {
+	public record RequestLimits(int maxHeadBytes, int maxHeadFields, int maxQueryParameters, long maxBodyBytes,
+			int maxPipelined) {
 
 		/** Leaves room for what proxies add to a head of 16,384 bytes. */
 		public static final int DEFAULT_HEAD_BYTES = 24 * 1024;
 
+		/** A client that waits for each response sends none. */
+		public static final int DEFAULT_PIPELINED = 8;
+
 		/** Default maximum number of header fields; it is Undertow's default. */
 		public static final int DEFAULT_HEAD_FIELDS = 200;
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/RequestBodyReader.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/RequestBodyReader.java
@@ -24,6 +24,12 @@
 	/** Bytes that are read at once, so that a fast caller does not delay the others. */
 	private static final int MAX_BYTES_PER_TURN = 64 * 1024;
 
+	/**
+	 * Reads at once. Each chunk of a chunked body takes one, so that a client that sends
+	 * chunks of one byte does not delay the others.
+	 */
+	private static final int MAX_READS_PER_TURN = 64;
+
 	private final HttpServerExchange exchange;
 
 	private final ByteBufferPool buffers;
@@ -142,7 +148,8 @@
 	private Optional<Runnable> read(StreamSourceChannel channel) throws IOException {
 		try (PooledByteBuffer pooled = this.buffers.allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
-			for (int readBytes = 0; readBytes < MAX_BYTES_PER_TURN;) {
+			int readBytes = 0;
+			for (int reads = 0; reads < MAX_READS_PER_TURN && readBytes < MAX_BYTES_PER_TURN; reads++) {
 				buffer.clear();
 				int count = channel.read(buffer);
 				if (count == 0) {
--- a/adapters/src/test/java/io/anvilusher/adapters/http/HttpListenerTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/HttpListenerTests.java
@@ -75,7 +75,7 @@
 		this.client = StreamingHttpClient.on(this.worker, new MemoryBudget(1_000_000));
 		this.listener = HttpListener.start(
 				new InetSocketAddress("127.0.0.1", 0), this.worker, new ListenerLimits("test", MAX_CONNECTIONS, 100_000,
-						new RequestLimits(24_576, 200, 1_000, 1_000), 10_000, 60_000, STALLED_TIMEOUT_MS),
+						new RequestLimits(24_576, 200, 1_000, 1_000, 60), 10_000, 60_000, STALLED_TIMEOUT_MS),
 				ListenerOptions.NONE, this.meters, this::handle);
 	}
 
@@ -217,6 +217,20 @@
 		assertEquals(this.started.get(), 51);
 	}
 
+	/** Guards against clients that use up the processor with requests sent ahead. */
+	@Test
+	public void connectionWithTooManyPipelinedRequestsIsClosed() throws IOException {
+		Socket socket = connect(REQUEST.repeat(90));
+		try {
+			socket.getInputStream().readAllBytes();
+		}
+		catch (SocketException ex) {
+			assertTrue(ex.getMessage().contains("reset"), ex.toString());
+		}
+		assertEquals(closed("pipelined", "head"), 1.0);
+		assertTrue(this.started.get() >= 60 && this.started.get() < 90, this.started + " started");
+	}
+
 	private final class Responder implements RequestBodyReader.Listener {
 
 		private final HttpServerExchange exchange;
--- a/entry/src/main/java/io/anvilusher/entry/http/CallerHttpServer.java
+++ b/entry/src/main/java/io/anvilusher/entry/http/CallerHttpServer.java
@@ -107,7 +107,8 @@
 		return new ListenerLimits("callers", settings.shares().callers(),
 				(long) (Runtime.getRuntime().maxMemory() * ListenerLimits.CALLER_HEAD_HEAP_SHARE),
 				new RequestLimits(settings.maxHeadBytes(), RequestLimits.DEFAULT_HEAD_FIELDS,
-						RequestLimits.DEFAULT_QUERY_PARAMETERS, settings.maxBodyBytes()),
+						RequestLimits.DEFAULT_QUERY_PARAMETERS, settings.maxBodyBytes(),
+						RequestLimits.DEFAULT_PIPELINED),
 				settings.callerTimeoutMs(), IDLE_CONNECTION_TIMEOUT_MS, ListenerLimits.DEFAULT_STALLED_TIMEOUT_MS);
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/ClientSettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/ClientSettings.java
@@ -16,12 +16,14 @@
  * @param maxHeadBytes maximum size of a request head, in bytes
  * @param maxHeadFields maximum number of header fields of a request
  * @param maxQueryParameters maximum number of query parameters of a request
+ * @param maxPipelined maximum number of requests of a connection within a second that
+ * arrive before the response to the previous one is complete
  * @param headTimeoutMs maximum time for a request head to arrive, in ms
  * @param stalledTimeoutMs time without progress of a request body or a response after
  * which a connection is closed, in ms
  */
 public record ClientSettings(int maxDescriptors, int fileDescriptors, int maxHeadBytes, int maxHeadFields,
-		int maxQueryParameters, int headTimeoutMs, int stalledTimeoutMs) {
+		int maxQueryParameters, int maxPipelined, int headTimeoutMs, int stalledTimeoutMs) {
 
 	private static final int DEFAULT_FILE_DESCRIPTORS = 200;
 
@@ -51,7 +53,8 @@
 	public static ClientSettings defaults() {
 		return new ClientSettings(DescriptorLimit.current(), DEFAULT_FILE_DESCRIPTORS, RequestLimits.DEFAULT_HEAD_BYTES,
 				RequestLimits.DEFAULT_HEAD_FIELDS, RequestLimits.DEFAULT_QUERY_PARAMETERS,
-				ListenerLimits.DEFAULT_HEAD_TIMEOUT_MS, ListenerLimits.DEFAULT_STALLED_TIMEOUT_MS);
+				RequestLimits.DEFAULT_PIPELINED, ListenerLimits.DEFAULT_HEAD_TIMEOUT_MS,
+				ListenerLimits.DEFAULT_STALLED_TIMEOUT_MS);
 	}
 
 	/**
@@ -76,6 +79,7 @@
 						RequestLimits.DEFAULT_HEAD_BYTES),
 				(int) reader.wholeNumber("maxHeadFields", 1, MAX_FIELDS, RequestLimits.DEFAULT_HEAD_FIELDS),
 				(int) reader.wholeNumber("maxQueryParameters", 1, MAX_FIELDS, RequestLimits.DEFAULT_QUERY_PARAMETERS),
+				(int) reader.wholeNumber("maxPipelined", 0, MAX_FIELDS, RequestLimits.DEFAULT_PIPELINED),
 				(int) reader.wholeNumber("headTimeoutMs", MIN_TIMEOUT_MS, MAX_TIMEOUT_MS,
 						ListenerLimits.DEFAULT_HEAD_TIMEOUT_MS),
 				(int) reader.wholeNumber("stalledTimeoutMs", MIN_TIMEOUT_MS, MAX_TIMEOUT_MS,
@@ -120,7 +124,8 @@
 	}
 
 	private RequestLimits request(long maxBodyBytes) {
-		return new RequestLimits(this.maxHeadBytes, this.maxHeadFields, this.maxQueryParameters, maxBodyBytes);
+		return new RequestLimits(this.maxHeadBytes, this.maxHeadFields, this.maxQueryParameters, maxBodyBytes,
+				this.maxPipelined);
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/admission/ConnectionBudget.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/ConnectionBudget.java
@@ -257,7 +257,13 @@
 		HEAD_MEMORY,
 
 		/** Longest time without progress of a body or a response. */
-		STALLED
+		STALLED,
+
+		/** Maximum number of pipelined requests. */
+		PIPELINED,
+
+		/** A listener that accepts no bodies. */
+		BODY_SIZE
 
 	}
 
