Close a connection whose parsed head finds no memory before its request starts

Cause: the memory of a head was checked after a request without a body had been marked as complete, so its connection was kept and no longer counted. Change: the check comes before the request counts as started. Run: HttpListenerTests pass, with a test that fails without the change.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientConnections.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientConnections.java
@@ -127,6 +127,13 @@
 			if (connection == null || !connection.channel().isOpen()) {
 				return;
 			}
+			// While the request does not count as started, its connection may be closed
+			// as
+			// well.
+			closeAll(this.budget.resizeHead(connection, parsedBytes(connection, exchange)));
+			if (!connection.channel().isOpen()) {
+				return;
+			}
 			int pipelined = connection.onHead(exchange);
 			exchange.addExchangeCompleteListener((ended, rest) -> {
 				connection.onEnd();
@@ -139,8 +146,7 @@
 			else if (this.limits.request().maxBodyBytes() == 0 && !exchange.isRequestComplete()) {
 				reject(connection, Limit.BODY_SIZE);
 			}
-			closeAll(this.budget.resizeHead(connection, parsedBytes(connection, exchange)));
-			if (connection.channel().isOpen()) {
+			else {
 				next.handleRequest(exchange);
 			}
 		};
--- a/adapters/src/test/java/io/anvilusher/adapters/http/HttpListenerTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/HttpListenerTests.java
@@ -231,6 +231,18 @@
 		assertTrue(this.started.get() >= 60 && this.started.get() < 90, this.started + " started");
 	}
 
+	/** Guards against parsed heads of requests in progress that need too much memory. */
+	@Test
+	public void requestWhoseHeadFindsNoMemoryIsNotStarted() throws IOException {
+		this.response = new byte[16 * 1024 * 1024];
+		String request = "GET /?" + "a&".repeat(300) + " HTTP/1.1\r\nHost: h\r\n\r\n";
+		connect(request);
+		assertEquals(this.started.get(), 1);
+		assertClosed(connect(request));
+		assertEquals(this.started.get(), 1);
+		assertEquals(closed("head_memory", "head"), 1.0);
+	}
+
 	private final class Responder implements RequestBodyReader.Listener {
 
 		private final HttpServerExchange exchange;
