Bound the connections that wait to be handled; keep new ones for 100 ms

Cause: XNIO accepts on a thread of its own. While the traffic thread was busy, accepted connections that it had not seen yet took all descriptors ("Too many open files" in the log of BODY_IN_CHUNKS with 300 descriptors). And a burst of new connections closed the one of an ordinary client before its head was read.

Change: the listener stops accepting at its limit plus a quarter; descriptors for that are set aside. A connection is closed for a missing head only when it has waited for 100 ms.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/HttpListener.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/HttpListener.java
@@ -20,6 +20,7 @@
 
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.logic.admission.DescriptorShares;
 
 /**
  * An HTTP server at one address whose clients are bounded. It replaces
@@ -72,6 +73,7 @@
 						.set(Options.REUSE_ADDRESSES, true)
 						.set(Options.BALANCING_TOKENS, 1)
 						.set(Options.BALANCING_CONNECTIONS, 2)
+						.addAll(acceptLimits(limits, worker))
 						.addAll(options.socket())
 						.getMap());
 			server.resumeAccepts();
@@ -83,6 +85,21 @@
 		}
 	}
 
+	// XNIO accepts on a thread of its own, so a busy I/O thread would not notice how many
+	// connections wait for it. XNIO accepts again when the number falls below the low
+	// water mark, which must be above the number that the limits leave open for ever. It
+	// divides the marks between I/O threads, where a full one could not be relieved.
+	private static OptionMap acceptLimits(ListenerLimits limits, XnioWorker worker) {
+		if (worker.getIoThreadCount() > 1) {
+			return OptionMap.EMPTY;
+		}
+		return OptionMap.builder()
+			.set(Options.CONNECTION_HIGH_WATER,
+					limits.maxConnections() + DescriptorShares.waiting(limits.maxConnections()))
+			.set(Options.CONNECTION_LOW_WATER, limits.maxConnections() + 2)
+			.getMap();
+	}
+
 	private static OptionMap options(ListenerLimits limits) {
 		return OptionMap.builder()
 			.set(UndertowOptions.MAX_HEADER_SIZE, limits.request().maxHeadBytes())
--- a/logic/src/main/java/io/anvilusher/logic/admission/ConnectionBudget.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/ConnectionBudget.java
@@ -23,6 +23,13 @@
  */
 public final class ConnectionBudget<C> {
 
+	/**
+	 * Time for which a connection must have waited for a head before it is closed in
+	 * favor of a new one, in ms. Otherwise a burst of new connections closes the one of
+	 * an ordinary client before its head is read.
+	 */
+	static final long MIN_HEAD_MS = 100;
+
 	/**
 	 * Time for which a response must have made no progress before its connection is
 	 * closed in favor of a new one, in ms. It is longer than a round trip between data
@@ -98,7 +105,8 @@
 
 	private Optional<C> cheapest(long nowMs) {
 		return Stream
-			.of(oldest(Stage.HEAD, (any) -> true), oldest(Stage.BODY, (any) -> true), oldest(Stage.IDLE, (any) -> true),
+			.of(oldest(Stage.HEAD, (entry) -> nowMs - entry.sinceMs >= MIN_HEAD_MS), oldest(Stage.BODY, (any) -> true),
+					oldest(Stage.IDLE, (any) -> true),
 					oldest(Stage.UNREAD_RESPONSE, (entry) -> nowMs - entry.sinceMs >= MIN_UNREAD_MS))
 			.flatMap(Optional::stream)
 			.findFirst();
--- a/logic/src/main/java/io/anvilusher/logic/admission/DescriptorShares.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/DescriptorShares.java
@@ -23,10 +23,13 @@
 	private static final double CHECKS_SHARE = 0.1;
 
 	/**
-	 * Share of the remaining sockets for callers. A request needs at most one connection
-	 * to a server at a time, so the other half is enough for the requests of all callers.
+	 * Descriptors for each connection of a caller. A request needs at most one connection
+	 * to a server at a time, and a quarter more connections may wait to be handled.
 	 */
-	private static final double CALLERS_SHARE = 0.5;
+	private static final double DESCRIPTORS_PER_CALLER = 2.25;
+
+	/** Fewest connections of a listener that may wait to be handled. */
+	private static final int MIN_WAITING = 4;
 
 	/**
 	 * Divides the descriptors of a process.
@@ -43,7 +46,18 @@
 					+ " are kept for files, which leaves fewer than " + MIN_SOCKETS + " for sockets");
 		}
 		int checks = Math.min(MAX_CHECKS, (int) (sockets * CHECKS_SHARE));
-		return new DescriptorShares((int) ((sockets - 2 * checks) * CALLERS_SHARE), checks, checks);
+		int left = sockets - 2 * (checks + waiting(checks));
+		return new DescriptorShares((int) (left / DESCRIPTORS_PER_CALLER), checks, checks);
+	}
+
+	/**
+	 * Returns how many accepted connections of a listener may wait until its thread has
+	 * closed others for them.
+	 * @param maxConnections maximum number of connections of the listener
+	 * @return maximum number of waiting connections
+	 */
+	public static int waiting(int maxConnections) {
+		return Math.max(MIN_WAITING, maxConnections / 4);
 	}
 
 }
