Do not skip the chunks of a refused body on the traffic thread

Cause: after the response to a request that was refused before its end, Undertow skips the rest of the body at once as long as any has arrived: about 40 ms for chunks of 4 MiB from a fast client. The thread then lagged, so the next requests were refused as gateway_overloaded and skipped in the same way, and no ordinary request was answered while 400 clients did so.

Change: a response to a request whose chunks are not read says "Connection: close", and the connection is closed 500 ms later without reading more.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
@@ -4,8 +4,10 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,6 +24,12 @@
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(ResponseWriter.class);
 
+	/**
+	 * Time for a client to read the response before its connection is closed, although it
+	 * has not sent its whole request, in ms.
+	 */
+	private static final long CLOSE_DELAY_MS = 500;
+
 	private final HttpServerExchange exchange;
 
 	private final Deque<Part> queuedParts = new ArrayDeque<>();
@@ -69,6 +77,10 @@
 	 * Opens the response. Its status and headers are sent with the first write.
 	 */
 	public void open() {
+		if (hasUnreadChunks()) {
+			this.exchange.setPersistent(false);
+			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
+		}
 		StreamSinkChannel opened = this.exchange.getResponseChannel();
 		if (opened == null) {
 			this.closed = true;
@@ -139,7 +151,7 @@
 			responseChannel.suspendWrites();
 			if (this.ending) {
 				this.closed = true;
-				this.exchange.endExchange();
+				endExchange();
 			}
 		}
 		catch (IOException ex) {
@@ -147,6 +159,23 @@
 		}
 	}
 
+	// Undertow would skip the rest of the body at once, as long as any has arrived: 40 ms
+	// of the I/O thread's time for chunks of 4 MiB from a fast client.
+	private void endExchange() {
+		if (!hasUnreadChunks()) {
+			this.exchange.endExchange();
+			return;
+		}
+		this.exchange.getIoThread().executeAfter(() -> {
+			IoUtils.safeClose(this.exchange.getConnection());
+			this.exchange.endExchange();
+		}, CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
+	}
+
+	private boolean hasUnreadChunks() {
+		return !this.exchange.isRequestComplete() && this.exchange.getRequestContentLength() < 0;
+	}
+
 	// Nothing else would end the response if the listener of the connection threw.
 	private void drainOrClose() {
 		try {
