--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -238,9 +238,9 @@
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
 						Optional.of(this.coordination)),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
-		this.httpServer = new GatewayHttpServer(settings.callerAddress(), this.worker, this.adapter.format(),
-				dispatcher, this.routes::get, this.clock, this.meters, random, this.lagMonitor::currentLagMs,
-				this.allowances);
+		this.httpServer = new GatewayHttpServer(settings.callerAddress(), settings.clients().callers(), this.worker,
+				this.adapter.format(), dispatcher, this.routes::get, this.clock, this.meters, random,
+				this.lagMonitor::currentLagMs, this.allowances);
 	}
 
 	private long kvCapacityTokens(String service) {
@@ -274,7 +274,7 @@
 		gateway.httpServer.start(LISTEN_WAIT_MS);
 		gateway.lagMonitor.start();
 		ReadinessServer.start(settings.readyAddress(), gateway.adapter.readyPath(), gateway.worker, gateway::isReady,
-				LISTEN_WAIT_MS);
+				settings.clients().readiness(), gateway.meters, LISTEN_WAIT_MS);
 		gateway.startAdminServer();
 		// The first calls to the store are made only now, after this thread has loaded
 		// the classes needed for the start.
@@ -292,7 +292,8 @@
 	// Callers are served without metrics as well.
 	private void startAdminServer() {
 		try {
-			AdminServer.start(this.settings.metricsAddress(), this.meters, this::isReady, this::status);
+			AdminServer.start(this.settings.metricsAddress(), this.settings.clients().metrics(), this.meters,
+					this::isReady, this::status);
 			LOGGER.info("Metrics are at {}", this.settings.metricsAddress());
 		}
 		catch (UncheckedIOException ex) {
--- a/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/GatewaySettings.java
@@ -29,11 +29,12 @@
  * @param catchUpMs time in ms until the newest state must be in use after an outage
  * @param allowance terms of the usage limits of workspaces
  * @param peers messages between gateways
+ * @param clients limits on clients
  */
 public record GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
 		InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties, long graceMs,
 		double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs, long drainMs,
-		long catchUpMs, AllowanceTerms allowance, PeerSettings peers) {
+		long catchUpMs, AllowanceTerms allowance, PeerSettings peers, ClientSettings clients) {
 
 	/** The terms of a deployment whose settings state none. */
 	public static final AllowanceTerms DEFAULT_ALLOWANCE = AllowanceTerms.DEFAULT;
@@ -66,14 +67,15 @@
 	 * @param leaseMs lease duration of the duties, in ms
 	 * @param drainMs time after which a draining server must get no new requests, in ms
 	 * @param catchUpMs time in ms until the newest state must be in use after an outage
+	 * @param clients limits on clients
 	 */
 	public GatewaySettings(String process, String dataCentre, InetSocketAddress callerAddress,
 			InetSocketAddress readyAddress, InetSocketAddress metricsAddress, URI store, Optional<URI> duties,
 			long graceMs, double retryRatio, long retryWindowMs, long usageWindowMs, long usageLateMs, long leaseMs,
-			long drainMs, long catchUpMs) {
+			long drainMs, long catchUpMs, ClientSettings clients) {
 		this(process, dataCentre, callerAddress, readyAddress, metricsAddress, store, duties, graceMs, retryRatio,
 				retryWindowMs, usageWindowMs, usageLateMs, leaseMs, drainMs, catchUpMs, DEFAULT_ALLOWANCE,
-				PeerSettings.NONE);
+				PeerSettings.NONE, clients);
 	}
 
 	/**
@@ -91,7 +93,8 @@
 				seconds(reader, "graceS"), reader.number("retryRatio", 0, 1, 0), seconds(reader, "retryWindowS"),
 				seconds(reader, "usageWindowS"), seconds(reader, "usageLateS"),
 				reader.wholeNumber("leaseMs", 1, MAX_MS, 3_000), reader.wholeNumber("drainMs", 1, MAX_MS, 2_000),
-				seconds(reader, "catchUpS"), readAllowance(reader), PeerSettings.read(reader));
+				seconds(reader, "catchUpS"), readAllowance(reader), PeerSettings.read(reader),
+				ClientSettings.read(reader));
 	}
 
 	private static AllowanceTerms readAllowance(ObjectReader reader) {
