--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementClient.java
@@ -112,7 +112,7 @@
 		if (this.selector.onMissingReply(ticket.coordinator(), this.timers.nowMs())) {
 			this.meters.counter("anvilusher.placement.coordinator.suspended").increment();
 		}
-		report(ticket.coordinator(), PlacementTicketReports.cancelled(ticket));
+		report(ticket.coordinator(), ticket.cancellation());
 		decide(ticket, Optional.empty(), "no_reply");
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementTicket.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/placement/PlacementTicket.java
@@ -67,6 +67,15 @@
 		return !this.decided && !this.ended;
 	}
 
+	/**
+	 * Returns the report that ends the request at a coordinator that did not answer.
+	 * @return the report
+	 */
+	PlacementMessages.End cancellation() {
+		return new PlacementMessages.End(this.ask.number(), this.ask.group(),
+				new PlacementReport(Event.ENDED, "", OptionalLong.empty(), 0, List.of()));
+	}
+
 	void onAsked(String peer) {
 		this.coordinator = peer;
 	}
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -53,9 +52,6 @@
 	 */
 	static final double[] UNKNOWN_CACHED_SHARES = { 0.7, 0.35 };
 
-	/** Streams per limit up to which an engine is filled before the next one is used. */
-	static final double MAX_STREAM_LOAD = 1;
-
 	/**
 	 * Longest prefill of a long prompt on an engine that generates long responses: a
 	 * small part of the pauses that are on time.
@@ -65,6 +61,12 @@
 	/** Cost of a long prompt on an engine that generates long responses. */
 	static final double BESIDE_STREAMS_MS = 80;
 
+	/**
+	 * Cost of a long prompt whose prefill would delay events of these responses beyond
+	 * their target: more than any prompt waits for another engine.
+	 */
+	static final double LONG_WORK_BESIDE_STREAMS_MS = 880;
+
 	/** Maximum of requests that are remembered; further ones are not coordinated. */
 	static final int MAX_REQUESTS = 20_000;
 
@@ -193,7 +195,7 @@
 		Comparator<EngineLedger> order = streamOrder();
 		List<EngineLedger> decoding = usable.stream().filter((engine) -> !engine.isPrefill()).sorted(order).toList();
 		EngineLedger engine = decoding.stream()
-			.filter((candidate) -> candidate.streamLoad() + 1e-9 < MAX_STREAM_LOAD)
+			.filter((candidate) -> candidate.streamLoad() < 1)
 			.findFirst()
 			.or(() -> decoding.stream()
 				.min(Comparator.comparingDouble(EngineLedger::streamLoad)
@@ -210,18 +212,17 @@
 	private PlacementDecision placeLongPrompt(PlacementRequest request, List<EngineLedger> usable, long nowMs) {
 		List<Candidate> candidates = candidates(request, usable, nowMs);
 		Candidate best = candidates.stream().min(Comparator.comparingDouble(Candidate::costMs)).orElseThrow();
+		EngineLedger engine = best.engine();
+		double workMs = engine.workMs(best.uncachedTokens());
 		QueuedRequest queued = new QueuedRequest(request, nowMs, best.uncachedTokens());
-		if (!queued.meetsDeadline(best.engine().backlogMs(nowMs) + best.engine().workMs(best.uncachedTokens()),
-				nowMs)) {
+		if (!queued.meetsDeadline(engine.backlogMs(nowMs) + workMs, nowMs)) {
 			return refused(nowMs);
 		}
-		if (best.engine().queue().size() == 0 && hasRoom(best.engine(), nowMs)) {
-			return send(queued, best.engine(), nowMs);
+		if (engine.queue().size() == 0 && hasRoom(engine, nowMs)) {
+			return send(queued, engine, nowMs);
 		}
-		EngineLedger engine = best.engine();
 		double aheadMs = engine.backlogMs(nowMs)
 				+ engine.queue().workMs((ahead) -> engine.workMs(ahead.uncachedTokens()), true);
-		double workMs = engine.workMs(best.uncachedTokens());
 		boolean onTime = queued.isOnTime(aheadMs + workMs, nowMs);
 		if (!onTime && engine.queue().lateWorkMs((ahead) -> engine.workMs(ahead.uncachedTokens()))
 				+ workMs > EngineQueue.MAX_LATE_WORK_MS) {
@@ -251,21 +252,23 @@
 		int fewest = uncached.values().stream().mapToInt(Integer::intValue).min().orElse(1);
 		return considered.stream()
 			.map((engine) -> candidate(engine, uncached.get(engine), fewest, request.splitExtraMs(), nowMs))
-			.flatMap(Optional::stream)
 			.toList();
 	}
 
-	private Optional<Candidate> candidate(EngineLedger engine, int uncachedTokens, int fewestTokens, long splitExtraMs,
+	private static Candidate candidate(EngineLedger engine, int uncachedTokens, int fewestTokens, long splitExtraMs,
 			long nowMs) {
 		double workMs = engine.workMs(uncachedTokens);
 		double queuedMs = engine.queue().workMs((queued) -> engine.workMs(queued.uncachedTokens()), true);
 		double endMs = engine.backlogMs(nowMs) + queuedMs + workMs + (engine.isPrefill() ? SPLIT_MS + splitExtraMs : 0);
 		double repeatedMs = REPEATED_WORK_WEIGHT * engine.workMs(uncachedTokens - fewestTokens);
-		double streamsMs = 0;
-		if (engine.streams() > 0) {
-			streamsMs = BESIDE_STREAMS_MS + ((workMs > MAX_WORK_BESIDE_STREAMS_MS) ? 10 * BESIDE_STREAMS_MS : 0);
+		return new Candidate(engine, uncachedTokens, endMs + repeatedMs + streamDelayMs(engine, workMs));
+	}
+
+	private static double streamDelayMs(EngineLedger engine, double workMs) {
+		if (engine.streams() == 0) {
+			return 0;
 		}
-		return Optional.of(new Candidate(engine, uncachedTokens, endMs + repeatedMs + streamsMs));
+		return (workMs > MAX_WORK_BESIDE_STREAMS_MS) ? LONG_WORK_BESIDE_STREAMS_MS : BESIDE_STREAMS_MS;
 	}
 
 	private static boolean hasRoom(EngineLedger engine, long nowMs) {
@@ -421,20 +424,6 @@
 		placed.decode().ifPresent((engine) -> engine.onEnded(key, nowMs));
 	}
 
-	/**
-	 * Returns the shortest expected time until an engine can begin another prompt.
-	 * @param nowMs current time of the monotonic clock
-	 * @return milliseconds; empty if the group has no engine
-	 */
-	public OptionalDouble shortestBacklogMs(long nowMs) {
-		return this.engines.values()
-			.stream()
-			.filter((engine) -> this.acceptingIds.contains(engine.id()))
-			.mapToDouble((engine) -> engine.backlogMs(nowMs)
-					+ engine.queue().workMs((queued) -> engine.workMs(queued.uncachedTokens()), true))
-			.min();
-	}
-
 	/**
 	 * A decision about a request that was queued.
 	 *
