Plan descriptors by the setting, not by the limit that the operating system reports

The process limit read from /proc was 200 there while the machine's setting says 4,100; the lower of both was taken. Without the setting, the limit of the operating system still counts.

--- a/gateway/src/main/java/io/anvilusher/gateway/ClientSettings.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/ClientSettings.java
@@ -63,15 +63,14 @@
 	 * @return the settings; valid only if the reader collected no errors
 	 */
 	public static ClientSettings read(ObjectReader reader) {
-		int processLimit = DescriptorLimit.current();
-		int maxDescriptors = Math.min(processLimit,
-				(int) reader.wholeNumber("maxDescriptors", 1, Integer.MAX_VALUE, processLimit));
+		int maxDescriptors = (int) reader.wholeNumber("maxDescriptors", 1, Integer.MAX_VALUE,
+				DescriptorLimit.current());
 		int fileDescriptors = (int) reader.wholeNumber("fileDescriptors", 1, Integer.MAX_VALUE,
 				DEFAULT_FILE_DESCRIPTORS);
 		if (maxDescriptors - fileDescriptors < DescriptorShares.MIN_SOCKETS) {
 			reader.problem("maxDescriptors",
-					"\"maxDescriptors\" or the limit of the operating system is " + maxDescriptors + ", of which "
-							+ fileDescriptors + " are kept for files (\"fileDescriptors\"); at least "
+					"\"maxDescriptors\", by default the limit of the operating system, is " + maxDescriptors
+							+ ", of which " + fileDescriptors + " are kept for files (\"fileDescriptors\"); at least "
 							+ DescriptorShares.MIN_SOCKETS + " must be left for connections");
 		}
 		return new ClientSettings(maxDescriptors, fileDescriptors,
