--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/EngineQueue.java
@@ -89,16 +89,16 @@
 	 * @param nowMs current time of the monotonic clock
 	 * @return the removed requests
 	 */
-	List<QueuedRequest> removeHopeless(ToDoubleFunction<QueuedRequest> workMs, long nowMs) {
+	List<QueuedRequest> removeUnservable(ToDoubleFunction<QueuedRequest> workMs, long nowMs) {
 		moveLate(workMs, nowMs);
 		List<QueuedRequest> removed = new ArrayList<>();
 		this.late.removeIf((queued) -> {
-			boolean hopeless = !queued.meetsDeadline(workMs.applyAsDouble(queued), nowMs)
+			boolean unservable = !queued.meetsDeadline(workMs.applyAsDouble(queued), nowMs)
 					|| queued.hasWaitedTooLong(nowMs);
-			if (hopeless) {
+			if (unservable) {
 				removed.add(queued);
 			}
-			return hopeless;
+			return unservable;
 		});
 		double lateWorkMs = this.late.stream().mapToDouble(workMs).sum();
 		while (lateWorkMs > MAX_LATE_WORK_MS && this.late.size() > 1) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -343,7 +343,7 @@
 		}
 		this.engines.values().stream().filter((engine) -> engine.queue().size() > 0).forEach((engine) -> {
 			engine.queue()
-				.removeHopeless((queued) -> engine.workMs(queued.uncachedTokens()), nowMs)
+				.removeUnservable((queued) -> engine.workMs(queued.uncachedTokens()), nowMs)
 				.forEach((queued) -> {
 					this.requests.remove(queued.request().key());
 					decided.add(new Decided(queued.request().key(), refused(nowMs)));
--- a/logic/src/test/java/io/anvilusher/logic/placement/coordinated/EngineQueueTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/coordinated/EngineQueueTests.java
@@ -63,8 +63,8 @@
 	public void requestIsRemovedWhenItsDeadlineIsTooNear() {
 		EngineQueue queue = new EngineQueue();
 		queue.add(queued(1, 100, 150, 0), true);
-		assertEquals(queue.removeHopeless((queued) -> WORK_MS, 0), List.of());
-		assertEquals(queue.removeHopeless((queued) -> WORK_MS, 145).size(), 1);
+		assertEquals(queue.removeUnservable((queued) -> WORK_MS, 0), List.of());
+		assertEquals(queue.removeUnservable((queued) -> WORK_MS, 145).size(), 1);
 		assertEquals(queue.size(), 0);
 	}
 
@@ -77,7 +77,7 @@
 		EngineQueue queue = new EngineQueue();
 		int count = 4 * (int) (EngineQueue.MAX_LATE_WORK_MS / WORK_MS);
 		IntStream.range(0, count).forEach((index) -> queue.add(queued(index, 0, 50_000, index % 2), false));
-		List<QueuedRequest> removed = queue.removeHopeless((queued) -> WORK_MS, 1);
+		List<QueuedRequest> removed = queue.removeUnservable((queued) -> WORK_MS, 1);
 		assertTrue(queue.lateWorkMs((queued) -> WORK_MS) <= EngineQueue.MAX_LATE_WORK_MS);
 		assertTrue(removed.subList(0, count / 2).stream().allMatch((queued) -> queued.request().priority() == 1));
 	}
