--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -48,7 +49,8 @@
 
 	private final Map<String, Integer> lockPorts = new LinkedHashMap<>();
 
-	private int logFileCount;
+	/** Commands may run at the same time; each needs a file of its own. */
+	private final AtomicInteger logFileCount = new AtomicInteger();
 
 	private Deployment(Path directory) throws IOException {
 		this.directory = directory;
@@ -61,7 +63,7 @@
 	}
 
 	private JavaProcess start(String name, String heap, String main, String... args) throws IOException {
-		Path output = this.directory.resolve(name + "." + this.logFileCount++ + ".log");
+		Path output = this.directory.resolve(name + "." + this.logFileCount.getAndIncrement() + ".log");
 		return JavaProcess.start(output, heap, main, args);
 	}
 
@@ -258,7 +260,7 @@
 
 	/** Runs the entry's main class with the arguments and returns what it printed. */
 	public CommandResult runEntryMain(String... args) throws IOException {
-		Path output = this.directory.resolve("command." + this.logFileCount++ + ".log");
+		Path output = this.directory.resolve("command." + this.logFileCount.getAndIncrement() + ".log");
 		JavaProcess process = JavaProcess.start(output, "64m", "io.anvilusher.entry.EntryMain", args);
 		int code = process.awaitExit();
 		await(() -> process.hasEnded(), 5000);
