--- a/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
+++ b/logic/src/main/java/io/anvilusher/logic/allowance/LocalAllowance.java
@@ -357,8 +357,8 @@
 	}
 
 	/**
-	 * Ends the relation to an allocator that is no longer chosen. Its ceilings go on
-	 * until they expire.
+	 * Stops using an allocator that is no longer chosen. The ceilings that it granted
+	 * stay valid until they expire.
 	 */
 	private void followChoice() {
 		if (this.allocator.isPresent() && !this.choice.current().equals(this.allocator.map(Allocator::gateway))) {
