Give the requests of the cut-stream tests contents of their own

Requests with the same content that an engine cuts are suspected of crashing it, so two cases got 422 instead of a stream. On the unchanged code the same 6 of 12 cases fail, now for the reason that the test names.

--- a/verification/src/test/java/io/anvilusher/verification/CutStreamTests.java
+++ b/verification/src/test/java/io/anvilusher/verification/CutStreamTests.java
@@ -31,6 +31,8 @@
 
 	private String key;
 
+	private int requests;
+
 	@BeforeClass
 	public void startDeployment() throws IOException {
 		this.deployment = Deployment.start();
@@ -53,8 +55,10 @@
 	}
 
 	private Socket open(String version, String header, int tokens) throws IOException {
+		// Requests with the same content would be suspected of crashing the engine.
+		this.requests++;
 		String body = "{\"model\":\"guide-13b\",\"stream\":true,\"max_tokens\":" + tokens
-				+ ",\"user\":\"u\",\"messages\":[{\"role\":\"user\",\"content\":\"c\"}]}";
+				+ ",\"user\":\"u\",\"messages\":[{\"role\":\"user\",\"content\":\"c" + this.requests + "\"}]}";
 		Socket socket = new Socket("127.0.0.1", URI.create(this.deployment.entryUrl("entry-a")).getPort());
 		socket.setSoTimeout(20_000);
 		socket.getOutputStream()
