Make a response that is broken off distinguishable for every kind of caller

Callers saw streams end as complete in the middle: all streams of one gateway at one moment, on responses whose end is that of the connection.

Cause: Undertow sends a response of unknown length in chunks only if the connection is kept. For a caller with Connection: close, for HTTP/1.0, and for every caller of a stopping gateway or entry (which sets Connection: close), the body ends with the connection. A stream that is broken off, and one of a process that ends, closes it in order: that is how a whole one ends.

Change: a body of unknown length is always sent in chunks to HTTP/1.1. HTTP/1.0 has none, so its connection is set to be reset by any close from the head on, also by the end of the process, until the whole body has been passed to the operating system; only then may it be closed in order.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
@@ -8,17 +8,22 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import io.undertow.util.StatusCodes;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.channels.StreamSinkChannel;
 
 /**
  * Writes the body of a response to a caller's connection without blocking. All methods
- * but {@link #onIoThread} are called on the connection's I/O thread. An aborted response
- * closes the connection before the end of the body, so that the caller can detect that it
- * is truncated.
+ * but {@link #onIoThread} are called on the connection's I/O thread.
+ * <p>
+ * A caller can always detect a truncated body: it ends before its length or its last
+ * chunk, or, for HTTP/1.0, which has no chunks, with a reset of the connection. The
+ * latter holds for any end of the connection before that of the body, also that of the
+ * process.
  */
 public final class ResponseWriter {
 
@@ -42,6 +47,9 @@
 
 	private boolean closed;
 
+	/** Whether only the end of the connection marks the end of the body. */
+	private boolean endsWithConnection;
+
 	private int pendingBytes;
 
 	/**
@@ -81,6 +89,9 @@
 			this.exchange.setPersistent(false);
 			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 		}
+		if (!isLengthKnown()) {
+			frame();
+		}
 		StreamSinkChannel opened = this.exchange.getResponseChannel();
 		if (opened == null) {
 			this.closed = true;
@@ -90,6 +101,35 @@
 		opened.getWriteSetter().set((ready) -> drainOrClose());
 	}
 
+	private boolean isLengthKnown() {
+		int status = this.exchange.getStatusCode();
+		return this.exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH) || status == StatusCodes.NO_CONTENT
+				|| status == StatusCodes.NOT_MODIFIED;
+	}
+
+	// Undertow sends chunks by itself only on connections that are kept.
+	private void frame() {
+		if (this.exchange.isHttp11()) {
+			this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+			return;
+		}
+		this.endsWithConnection = true;
+		resetOnClose(true);
+	}
+
+	private void resetOnClose(boolean reset) {
+		try {
+			this.exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
+		}
+		catch (IOException ex) {
+			LOGGER.atWarn()
+				.setCause(ex)
+				.addKeyValue("path", this.exchange.getRequestURI())
+				.log("The end of the connection cannot be set; it is closed before the response");
+			close();
+		}
+	}
+
 	/**
 	 * Queues a part of the body; {@link #drain()} writes it.
 	 * @param data the part
@@ -141,8 +181,9 @@
 				close();
 				return;
 			}
-			if (this.ending) {
-				responseChannel.shutdownWrites();
+			if (this.ending && !endBody(responseChannel)) {
+				responseChannel.resumeWrites();
+				return;
 			}
 			if (!responseChannel.flush()) {
 				responseChannel.resumeWrites();
@@ -159,6 +200,20 @@
 		}
 	}
 
+	// A connection that marks the end of the body may be closed in order only once the
+	// whole body is on its way.
+	private boolean endBody(StreamSinkChannel responseChannel) throws IOException {
+		if (this.endsWithConnection) {
+			if (!responseChannel.flush()) {
+				return false;
+			}
+			this.endsWithConnection = false;
+			resetOnClose(false);
+		}
+		responseChannel.shutdownWrites();
+		return true;
+	}
+
 	// Undertow would skip the rest of the body at once, as long as any has arrived: 40 ms
 	// of the I/O thread's time for chunks of 4 MiB from a fast client.
 	private void endExchange() {
