--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseWriter.java
@@ -20,10 +20,9 @@
  * Writes the body of a response to a caller's connection without blocking. All methods
  * but {@link #onIoThread} are called on the connection's I/O thread.
  * <p>
- * A caller can always detect a truncated body: it ends before its length or its last
- * chunk, or, for HTTP/1.0, which has no chunks, with a reset of the connection. The
- * latter holds for any end of the connection before that of the body, also that of the
- * process.
+ * A caller can detect a truncated body: it ends before its length or its last chunk, or,
+ * for HTTP/1.0, which has no chunks, with a reset of the connection, which also the end
+ * of the process causes. The reset may discard parts that were sent and not yet read.
  */
 public final class ResponseWriter {
 
@@ -89,8 +88,8 @@
 			this.exchange.setPersistent(false);
 			this.exchange.getResponseHeaders().put(Headers.CONNECTION, "close");
 		}
-		if (!isLengthKnown()) {
-			frame();
+		if (!hasKnownLength()) {
+			markEndOfBody();
 		}
 		StreamSinkChannel opened = this.exchange.getResponseChannel();
 		if (opened == null) {
@@ -101,14 +100,14 @@
 		opened.getWriteSetter().set((ready) -> drainOrClose());
 	}
 
-	private boolean isLengthKnown() {
+	private boolean hasKnownLength() {
 		int status = this.exchange.getStatusCode();
 		return this.exchange.getResponseHeaders().contains(Headers.CONTENT_LENGTH) || status == StatusCodes.NO_CONTENT
 				|| status == StatusCodes.NOT_MODIFIED;
 	}
 
 	// Undertow sends chunks by itself only on connections that are kept.
-	private void frame() {
+	private void markEndOfBody() {
 		if (this.exchange.isHttp11()) {
 			this.exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
 			return;
@@ -122,10 +121,10 @@
 			this.exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
 		}
 		catch (IOException ex) {
-			LOGGER.atWarn()
+			LOGGER.atDebug()
 				.setCause(ex)
 				.addKeyValue("path", this.exchange.getRequestURI())
-				.log("The end of the connection cannot be set; it is closed before the response");
+				.log("The caller's connection is closed already; the response ends");
 			close();
 		}
 	}
--- a/verification/src/test/java/io/anvilusher/verification/CutStreamTests.java
+++ b/verification/src/test/java/io/anvilusher/verification/CutStreamTests.java
@@ -22,8 +22,7 @@
 import static org.testng.Assert.assertTrue;
 
 /**
- * Streams that an entry breaks off looked whole to callers whose response ends with the
- * connection.
+ * No caller takes a stream that an entry breaks off for a whole one.
  */
 public class CutStreamTests {
 
