Answer a caller that resumes after the last event with the empty rest of the stream

A caller whose stream was cut between its last event and its end resumes it, and got 502 on each try, since a stream without events was taken for a cut one. Now that cut streams are visible, callers meet this more often. A stream that its server ends with a length or a last chunk is whole if the caller already has its beginning.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -697,10 +697,15 @@
 			return;
 		}
 		boolean empty = this.eventSplitter.events() == this.eventsBeforeAttempt;
-		if (this.eventSplitter.hasPartialEvent() || !this.streamStarted || (empty && !attempt.isFramed())) {
+		boolean maybeEmpty = this.streamStarted || this.input.head().resumesStream();
+		if (this.eventSplitter.hasPartialEvent() || !maybeEmpty || (empty && !attempt.isFramed())) {
 			onFailed(attempt, AttemptFailure.ANSWER_CUT);
 			return;
 		}
+		if (!this.streamStarted) {
+			this.streamStarted = true;
+			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
+		}
 		attempt.onWholeResponse();
 		finish("answered", this.streamHead.status());
 		this.response.endStream();
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/RequestHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/RequestHead.java
@@ -15,8 +15,9 @@
  * @param prompt size and shared parts of the prompt; empty if the request has no prompt
  * @param tokens sum of the token counts that the request states, bounded; empty if it
  * states none
+ * @param resumesStream whether the caller has the beginning of the stream already
  */
 public record RequestHead(String attemptId, OptionalLong remainingMs, Optional<String> key,
-		Optional<PromptShape> prompt, OptionalLong tokens) {
+		Optional<PromptShape> prompt, OptionalLong tokens, boolean resumesStream) {
 
 }
