Log how large a request was, how long it waited and what limit refused it

Operators report that large prompts are refused while small ones are served.

"Request ended" now has prompt_tokens, max_output_tokens, body_bytes, queued_ms and, for service_saturated, the limit that was reached. The counter anvilusher_request_prompts_total counts ends by size class and status. One counter lookup is added per request with a prompt.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -295,7 +295,7 @@
 			long nowMs = nowMs();
 			this.serviceStates.values().forEach((state) -> {
 				state.queue().placeQueued(GatewayRequest::tryPlace);
-				state.queue().expire(nowMs, GatewayRequest::refuseSaturated);
+				state.queue().expire(nowMs, GatewayRequest::refuseQueued);
 			});
 		}
 		finally {
@@ -378,6 +378,20 @@
 		}
 	}
 
+	/**
+	 * Counts the end of a request with a prompt by the size class of the prompt, so that
+	 * a limit that only large prompts meet shows.
+	 * @param service name of the service
+	 * @param status status of the response; 0 if it was broken off
+	 * @param promptTokens number of tokens of the prompt
+	 */
+	void recordPromptEnd(String service, int status, int promptTokens) {
+		this.meters
+			.counter("anvilusher.request.prompts", "service", service, "status", Integer.toString(status), "tokens",
+					PromptSizeClass.of(promptTokens).label())
+			.increment();
+	}
+
 	long nowMs() {
 		return this.clock.nowMs();
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -21,6 +21,7 @@
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.logic.request.EventSplitter;
 import io.anvilusher.model.request.AttemptFailure;
+import io.anvilusher.model.request.PromptShape;
 import io.anvilusher.model.request.RefusalReason;
 
 /**
@@ -54,6 +55,8 @@
 	/** Memory of a stream up to which it is not accounted for. */
 	private static final int SMALL_STREAM_BYTES = 16 * 1024;
 
+	private static final long NOT_WAITING = -1;
+
 	private final Dispatcher dispatcher;
 
 	private final RequestInput input;
@@ -107,6 +110,12 @@
 
 	private long longestPauseMs;
 
+	private long waitingSinceMs = NOT_WAITING;
+
+	private long queuedMs;
+
+	private Optional<SaturationLimit> limit = Optional.empty();
+
 	GatewayRequest(Dispatcher dispatcher, RequestInput input) {
 		this.dispatcher = dispatcher;
 		this.input = input;
@@ -224,6 +233,7 @@
 	}
 
 	private void placeOrEnqueue() {
+		this.waitingSinceMs = this.dispatcher.nowMs();
 		if (this.dispatcher.askCoordinator(this, this.excludedServers, new TicketListener()).isEmpty()) {
 			placeWithoutCoordinator();
 		}
@@ -240,7 +250,7 @@
 
 	private void placeOrEnqueueNow() {
 		if (!tryPlace() && !this.dispatcher.enqueue(this)) {
-			refuseSaturated();
+			refuseSaturated(SaturationLimit.QUEUE_LENGTH);
 		}
 	}
 
@@ -273,7 +283,7 @@
 		}
 		else if (placement instanceof Placement.Split split) {
 			if (!mayPrefillAgain()) {
-				refuse(RefusalReason.SERVICE_SATURATED);
+				refuseSaturated(SaturationLimit.RETRY_BUDGET);
 				return true;
 			}
 			this.decodeServer = split.decode();
@@ -305,7 +315,7 @@
 			return;
 		}
 		if (!mayPrefillAgain()) {
-			refuse(RefusalReason.SERVICE_SATURATED);
+			refuseSaturated(SaturationLimit.RETRY_BUDGET);
 			return;
 		}
 		this.decodeServer = decode.get();
@@ -371,17 +381,33 @@
 
 	private void send(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
 		this.sends++;
+		stopWaiting();
 		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
 		this.currentAttempt = next;
 		next.start();
 	}
 
+	private void stopWaiting() {
+		if (this.waitingSinceMs != NOT_WAITING) {
+			this.queuedMs += this.dispatcher.nowMs() - this.waitingSinceMs;
+			this.waitingSinceMs = NOT_WAITING;
+		}
+	}
+
 	OptionalLong resumeAfter() {
 		return this.streamStarted ? this.eventSplitter.lastId() : OptionalLong.empty();
 	}
 
-	void refuseSaturated() {
-		guard(() -> refuse(RefusalReason.SERVICE_SATURATED));
+	/**
+	 * Refuses the request because its queue time is over.
+	 */
+	void refuseQueued() {
+		guard(() -> refuseSaturated(SaturationLimit.QUEUE_TIME));
+	}
+
+	private void refuseSaturated(SaturationLimit reached) {
+		this.limit = Optional.of(reached);
+		refuse(RefusalReason.SERVICE_SATURATED);
 	}
 
 	/**
@@ -426,6 +452,7 @@
 			return;
 		}
 		if (!retry(attempt, failure, arrived)) {
+			this.limit = Optional.of(SaturationLimit.SERVERS);
 			finishFailed(failure, RefusalReason.SERVICE_SATURATED);
 		}
 	}
@@ -739,8 +766,14 @@
 	}
 
 	private void recordEnd(String outcome, int status) {
+		stopWaiting();
 		long nowMs = this.dispatcher.nowMs();
+		Optional<PromptShape> prompt = this.input.head().prompt();
+		int promptTokens = prompt.map(PromptShape::promptTokens).orElse(0);
 		this.dispatcher.recordEnd(this.input.service(), status, this.firstResultMs, nowMs - this.input.arrivedAtMs());
+		if (this.input.route().carriesPrompt()) {
+			this.dispatcher.recordPromptEnd(this.input.service(), status, promptTokens);
+		}
 		LOGGER.atInfo()
 			.addKeyValue("request_id", this.input.head().attemptId())
 			.addKeyValue("route", this.input.route().name())
@@ -753,8 +786,13 @@
 			.addKeyValue("first_result_ms", this.firstResultMs)
 			.addKeyValue("events", this.eventSplitter.events())
 			.addKeyValue("longest_pause_ms", this.longestPauseMs)
+			.addKeyValue("queued_ms", this.queuedMs)
 			.addKeyValue("total_ms", nowMs - this.input.arrivedAtMs())
+			.addKeyValue("prompt_tokens", promptTokens)
+			.addKeyValue("max_output_tokens", prompt.map(PromptShape::maxOutputTokens).orElse(0))
+			.addKeyValue("body_bytes", this.input.body().length)
 			.addKeyValue("outcome", outcome)
+			.addKeyValue("limit", this.limit.map(SaturationLimit::label).orElse(""))
 			.log("Request ended");
 	}
 
@@ -775,7 +813,7 @@
 			guard(() -> {
 				GatewayRequest.this.coordinatorRetryAfterMs = OptionalLong.of(retryAfterMs);
 				if (!GatewayRequest.this.done) {
-					refuse(RefusalReason.SERVICE_SATURATED);
+					refuseSaturated(SaturationLimit.COORDINATOR);
 				}
 			});
 		}
