Serve large prompts above capacity nearly as often as small ones

Cause: a prompt is sent if it fits into what is left of the window of pending tokens at an engine. Above capacity the windows are always nearly full, so what is left is often enough for a small prompt and hardly ever for a large one. The queue does not help: those behind a large prompt that fit are sent first, and after 15% of the target it is refused.

Each gateway now compares, by service, how often large prompts and how often all are served. While large ones are served clearly less often, a prompt counts for less of its tokens the larger it is, just as much as it takes. Since the window still holds the real tokens, the excess of a large prompt is paid back before the next one, and prompts that do not fit at all are spaced by the size of the one before. While all sizes are served, nothing changes: to prefer what fits serves most callers.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -306,6 +306,18 @@
 		}
 	}
 
+	/**
+	 * Records that a request is refused because no server had room for it.
+	 * @param request the request
+	 */
+	void onNotPlaced(GatewayRequest request) {
+		request.input()
+			.head()
+			.prompt()
+			.filter((prompt) -> request.input().route().carriesPrompt())
+			.ifPresent((prompt) -> this.enginePlacer.onRefused(request.input().service(), prompt));
+	}
+
 	void onCapacityFreed(String service) {
 		serviceState(service).queue().placeQueued(GatewayRequest::tryPlace);
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -250,6 +250,7 @@
 
 	private void placeOrEnqueueNow() {
 		if (!tryPlace() && !this.dispatcher.enqueue(this)) {
+			this.dispatcher.onNotPlaced(this);
 			refuseSaturated(SaturationLimit.QUEUE_LENGTH);
 		}
 	}
@@ -402,7 +403,10 @@
 	 * Refuses the request because its queue time is over.
 	 */
 	void refuseQueued() {
-		guard(() -> refuseSaturated(SaturationLimit.QUEUE_TIME));
+		guard(() -> {
+			this.dispatcher.onNotPlaced(this);
+			refuseSaturated(SaturationLimit.QUEUE_TIME);
+		});
 	}
 
 	private void refuseSaturated(SaturationLimit reached) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -62,6 +62,8 @@
 
 	private final Map<String, ReservedEngines> reservedByService = new HashMap<>();
 
+	private final Map<String, PromptSizes> sizesByService = new HashMap<>();
+
 	/**
 	 * An engine with at least this many steady requests serves short prompts. Long
 	 * prompts alone leave fewer requests running, because their responses are short.
@@ -107,6 +109,21 @@
 			.orElseGet(Placement.Full::new);
 	}
 
+	/**
+	 * Records that a request was refused because no engine had room for it.
+	 * @param service name of the service
+	 * @param prompt the prompt
+	 */
+	public void onRefused(String service, PromptShape prompt) {
+		if (prompt.sharedTokens() >= MIN_AFFINITY_TOKENS) {
+			sizes(service).onRefused(prompt.promptTokens());
+		}
+	}
+
+	private PromptSizes sizes(String service) {
+		return this.sizesByService.computeIfAbsent(service, (name) -> new PromptSizes());
+	}
+
 	/**
 	 * Selects another decode engine to fetch a KV cache, after the one selected before
 	 * did not accept the request.
@@ -181,11 +198,15 @@
 		String key = shared.get(shared.size() - 1).id();
 		List<TrackedServer> homes = Rendezvous.sortByRank(candidates,
 				(engine) -> Rendezvous.rank(engine.server().id(), key, engine.isPrefill() ? PREFILL_WEIGHT : 1));
-		return IntStream.range(0, Math.min(MAX_HOMES, homes.size()))
+		PromptSizes sizes = sizes(decodeEngines.get(0).server().service());
+		Optional<Home> home = IntStream.range(0, Math.min(MAX_HOMES, homes.size()))
 			.mapToObj((rank) -> new Home(homes.get(rank), tokensToPrefill(prompt, homes.get(rank), rank)))
-			.filter((home) -> home.engine().window().fits(home.tokens(), targetMs, nowMs))
-			.findFirst()
-			.map((home) -> placeAt(home, decodeEngines, targetMs, nowMs));
+			.filter((candidate) -> candidate.engine()
+				.window()
+				.fits(sizes.countedTokens(candidate.tokens(), prompt.promptTokens()), targetMs, nowMs))
+			.findFirst();
+		home.ifPresent((found) -> sizes.onPlaced(prompt.promptTokens()));
+		return home.map((found) -> placeAt(found, decodeEngines, targetMs, nowMs));
 	}
 
 	// All gateways use the same first home for a part, so it is probably cached there.
--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -44,6 +44,8 @@
 	 */
 	static final double STALLED_SHARE = 0.65;
 
+	private double lastOversizedTokens;
+
 	private long lastOversizedSentMs = Long.MIN_VALUE / 2;
 
 	private int pendingPrompts;
@@ -57,7 +59,9 @@
 	 * only while nothing else is pending, and such prompts only as often as the limit
 	 * allows on average: one limit's worth of tokens per target latency. Smaller prompts
 	 * do not postpone them, or else they would never be sent in a busy time.
-	 * @param tokens tokens that the engine would have to prefill
+	 * @param tokens tokens that the prompt counts for: those that the engine would have
+	 * to prefill, or fewer for a large prompt, whose excess is then paid back by the time
+	 * until the next one that does not fit
 	 * @param targetMs target latency of the first event
 	 * @param nowMs current time of the monotonic clock
 	 * @return whether the prompt may be sent; false while the engine is stalled
@@ -69,7 +73,8 @@
 		if (this.pendingTokens + tokens <= this.limitTokens) {
 			return true;
 		}
-		return this.pendingTokens < 1 && nowMs - this.lastOversizedSentMs >= targetMs * tokens / this.limitTokens;
+		double paidTokens = Math.max(tokens, this.lastOversizedTokens);
+		return this.pendingTokens < 1 && nowMs - this.lastOversizedSentMs >= targetMs * paidTokens / this.limitTokens;
 	}
 
 	/**
@@ -92,6 +97,7 @@
 	public void onSent(double tokens, long nowMs) {
 		if (tokens > this.limitTokens) {
 			this.lastOversizedSentMs = nowMs;
+			this.lastOversizedTokens = tokens;
 		}
 		this.pendingTokens += tokens;
 		if (this.pendingPrompts++ == 0) {
--- a/logic/src/test/java/io/anvilusher/logic/placement/SizeReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/SizeReplay.java
@@ -110,20 +110,21 @@
 	private void arrive(Gateway gateway, Request request) {
 		if (!place(gateway, request, request.atMs())
 				&& !gateway.queue().offer(request, TARGET_MS, (long) request.atMs())) {
-			reject(request);
+			reject(gateway, request);
 		}
 	}
 
 	private void checkQueue(Gateway gateway, double nowMs) {
 		placeQueued(gateway, nowMs);
-		gateway.queue().expire((long) nowMs, this::reject);
+		gateway.queue().expire((long) nowMs, (request) -> reject(gateway, request));
 	}
 
 	private void placeQueued(Gateway gateway, double nowMs) {
 		gateway.queue().placeQueued((request) -> place(gateway, request, nowMs));
 	}
 
-	private void reject(Request request) {
+	private void reject(Gateway gateway, Request request) {
+		gateway.placer().onRefused("llm", request.prompt());
 		this.outcomes.add(new Outcome(request.prompt().promptTokens(), Double.MAX_VALUE));
 	}
 
