Show two more limits that large prompts meet and small ones pass

A prompt larger than the window of an engine waits until nothing else is pending, which never holds while smaller ones overlap: 0 large prompts sent in 20 s.

--- a/logic/src/test/java/io/anvilusher/logic/placement/PromptWindowTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/PromptWindowTests.java
@@ -43,6 +43,30 @@
 		assertTrue(large >= 5, "large prompts sent: " + large);
 	}
 
+	/**
+	 * Guards against a large prompt that waits until nothing else is pending while small
+	 * ones that fit keep coming, each sent before the one before it is prefilled.
+	 */
+	@Test
+	public void overlappingSmallPromptsDoNotStarveALargeOne() {
+		PromptWindow window = new PromptWindow();
+		int large = 0;
+		for (long nowMs = 0; nowMs < 20_000; nowMs += 5) {
+			if (nowMs % 100 == 0) {
+				window.onSent(SMALL_TOKENS, nowMs);
+			}
+			if (nowMs % 100 == 50 && nowMs > 100) {
+				window.onSettled(SMALL_TOKENS, nowMs);
+			}
+			if (window.fits(LARGE_TOKENS, TARGET_MS, nowMs)) {
+				window.onSent(LARGE_TOKENS, nowMs);
+				window.onSettled(LARGE_TOKENS, nowMs);
+				large++;
+			}
+		}
+		assertTrue(large >= 2, "large prompts sent: " + large);
+	}
+
 	@Test
 	public void largePromptsAreSentOnlyAsOftenAsTheLimitAllows() {
 		PromptWindow window = new PromptWindow();
--- a/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplayTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplayTests.java
@@ -1,5 +1,6 @@
 package io.anvilusher.logic.placement.coordinated;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.DoubleUnaryOperator;
 import java.util.function.Predicate;
@@ -108,6 +109,25 @@
 		assertTrue(onTime > 0.75, "share of served prompts on time " + onTime);
 	}
 
+	/** Guards against a coordinator that leaves out what takes long to prefill. */
+	@Test(dataProvider = "seeds")
+	public void lastingOverloadServesTheLargestPromptsHalfAsOftenAsAll(long seed) {
+		List<Outcome> bySize = new CoordinatedReplay(seed, true).simulate(OVERLOAD_MS, OVERLOAD)
+			.outcomes()
+			.stream()
+			.filter((outcome) -> !outcome.request().isStream())
+			.sorted(Comparator.comparingInt((outcome) -> outcome.request().prompt().promptTokens()))
+			.toList();
+		int count = bySize.size();
+		double all = share(bySize, Outcome::isServed);
+		double largestTenth = share(bySize.subList(count * 9 / 10, count), Outcome::isServed);
+		double fifthBelow = share(bySize.subList(count * 7 / 10, count * 9 / 10), Outcome::isServed);
+		String shares = "served of the largest tenth %.2f, of the fifth below it %.2f, of all %.2f"
+			.formatted(largestTenth, fifthBelow, all);
+		assertTrue(largestTenth >= all / 2, shares);
+		assertTrue(fifthBelow >= all / 2, shares);
+	}
+
 	private static void assertServed(List<Outcome> window, Predicate<Outcome> kind, String name) {
 		double served = share(window.stream().filter(kind).toList(), Outcome::isServed);
 		assertTrue(served > MIN_SERVED_SHARE, "served share " + served + " of " + name);
