--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptWindow.java
@@ -34,11 +34,6 @@
 	/** The limit grows by this share of the prompt tokens of an early request. */
 	static final double GROW_SHARE = 0.25;
 
-	/**
-	 * Factor of the time that a prompt which does not fit waits while others are pending.
-	 */
-	static final double BUSY_WAIT_FACTOR = 2;
-
 	private double limitTokens = INITIAL_TOKENS;
 
 	private double pendingTokens;
@@ -49,9 +44,9 @@
 	 */
 	static final double STALLED_SHARE = 0.65;
 
-	private double lastExceedingTokens;
+	private double lastOversizedTokens;
 
-	private long lastExceedingSentMs = Long.MIN_VALUE / 2;
+	private long lastOversizedSentMs = Long.MIN_VALUE / 2;
 
 	private int pendingPrompts;
 
@@ -60,11 +55,10 @@
 	private long lastShrinkMs = Long.MIN_VALUE / 2;
 
 	/**
-	 * Returns whether another prompt may be sent. Prompts that do not fit are sent only
-	 * as often as the limit allows on average: one limit's worth of tokens per target
-	 * latency if nothing else is pending, and half of that while smaller prompts, which
-	 * fit, keep coming. These postpone them no further, or else they would never be sent
-	 * in a busy time.
+	 * Returns whether another prompt may be sent. A prompt larger than the limit is sent
+	 * only while nothing else is pending, and such prompts only as often as the limit
+	 * allows on average: one limit's worth of tokens per target latency. Smaller prompts
+	 * do not postpone them, or else they would never be sent in a busy time.
 	 * @param tokens tokens that the prompt counts for: those that the engine would have
 	 * to prefill, or fewer for a large prompt, whose excess is then paid back by the time
 	 * until the next one that does not fit
@@ -79,9 +73,8 @@
 		if (this.pendingTokens + tokens <= this.limitTokens) {
 			return true;
 		}
-		double limitsToPay = Math.max(tokens, this.lastExceedingTokens) / this.limitTokens;
-		double targetsToWait = (this.pendingTokens < 1) ? limitsToPay : BUSY_WAIT_FACTOR * limitsToPay;
-		return this.pendingTokens < this.limitTokens && nowMs - this.lastExceedingSentMs >= targetMs * targetsToWait;
+		double paidTokens = Math.max(tokens, this.lastOversizedTokens);
+		return this.pendingTokens < 1 && nowMs - this.lastOversizedSentMs >= targetMs * paidTokens / this.limitTokens;
 	}
 
 	/**
@@ -102,9 +95,9 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void onSent(double tokens, long nowMs) {
-		if (this.pendingTokens + tokens > this.limitTokens) {
-			this.lastExceedingSentMs = nowMs;
-			this.lastExceedingTokens = tokens;
+		if (tokens > this.limitTokens) {
+			this.lastOversizedSentMs = nowMs;
+			this.lastOversizedTokens = tokens;
 		}
 		this.pendingTokens += tokens;
 		if (this.pendingPrompts++ == 0) {
