Record the limits that servers name in their responses

The limit is now read from the head of each response that belongs to its request, and from responses of the control interface. Values that are not one decimal number are ignored and counted. No request is placed differently, and callers still get the header.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -44,6 +44,7 @@
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
+import io.anvilusher.gateway.limit.LimitMeters;
 import io.anvilusher.gateway.peer.LocalPeerChannel;
 import io.anvilusher.gateway.peer.ManagedPeerChannel;
 import io.anvilusher.gateway.peer.Peer;
@@ -214,7 +215,9 @@
 					runCounter, new UsageReporter.Dependencies(this.adapter.usageLog(), reports), this.control,
 					this.clock, timeOfDayMs));
 		this.context = new ControlContext(this.control, this.clock, this.meters);
-		ServerAnnouncements announcements = new ServerAnnouncements(this.serverRegistry, this.meters, this.clock);
+		LimitMeters limitMeters = new LimitMeters(this.meters);
+		ServerAnnouncements announcements = new ServerAnnouncements(this.serverRegistry, this.meters, this.clock,
+				limitMeters);
 		EngineControlClient engineControl = this.adapter.engineControl(
 				(engine, head, path) -> thread.execute(() -> announcements.onControlHead(engine, head, path)));
 		this.roleController = new RoleController(this.dutyMembership, settings.process(),
@@ -236,7 +239,7 @@
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
-						Optional.of(this.coordination)),
+						Optional.of(this.coordination), limitMeters),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), settings.clients().callers(), this.worker,
 				this.adapter.format(), dispatcher, this.routes::get, this.clock, this.meters, random,
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
@@ -5,6 +5,7 @@
 
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.limit.LimitMeters;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.fleet.RegisteredServer;
@@ -27,16 +28,20 @@
 
 	private final MonotonicClock clock;
 
+	private final LimitMeters limits;
+
 	/**
 	 * Creates an instance.
 	 * @param serverRegistry the servers
 	 * @param meters counts the announcements
 	 * @param clock the monotonic clock
+	 * @param limits records the limits that servers name
 	 */
-	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock) {
+	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock, LimitMeters limits) {
 		this.serverRegistry = serverRegistry;
 		this.meters = meters;
 		this.clock = clock;
+		this.limits = limits;
 	}
 
 	/**
@@ -50,6 +55,11 @@
 		if (head.status() == MISDIRECTED) {
 			return;
 		}
+		onLimit(server, head);
+		onAvailability(server, head, requestId);
+	}
+
+	private void onAvailability(TrackedServer server, ResponseHead head, String requestId) {
 		if (head.leaving() && server.availability().onLeaving()) {
 			this.meters.counter("anvilusher.servers.leaving", "service", server.server().service()).increment();
 			LOGGER.atInfo()
@@ -63,6 +73,15 @@
 		}
 	}
 
+	private void onLimit(TrackedServer server, ResponseHead head) {
+		if (head.limitInvalid()) {
+			this.limits.onInvalid(server.server(), this.clock.nowMs());
+		}
+		else {
+			this.limits.onLimit(server.server(), head.limitPerS(), this.clock.nowMs());
+		}
+	}
+
 	private void onPauseRequested(TrackedServer server, long pauseMs, String requestId) {
 		long nowMs = this.clock.nowMs();
 		if (!server.availability().onPauseRequested(pauseMs, nowMs)) {
@@ -80,16 +99,23 @@
 	/**
 	 * Records the announcements in a response to a call of the control interface.
 	 * Responses that carry the identifier of a caller's request belong to another call
-	 * and are ignored.
+	 * and are ignored. One that names no limit says nothing about the limit, which is
+	 * named to callers.
 	 * @param engine registration of the engine that was called; ignored if it has been
 	 * restarted since
 	 * @param head head of the response
 	 * @param call name of the call, for the log
 	 */
 	public void onControlHead(RegisteredServer engine, ResponseHead head, String call) {
-		if (head.attemptId().isEmpty()) {
-			this.serverRegistry.tracked(engine).ifPresent((server) -> onHead(server, head, call));
+		if (!head.attemptId().isEmpty() || head.status() == MISDIRECTED) {
+			return;
 		}
+		this.serverRegistry.tracked(engine).ifPresent((server) -> {
+			if (head.limitPerS().isPresent() || head.limitInvalid()) {
+				onLimit(server, head);
+			}
+			onAvailability(server, head, call);
+		});
 	}
 
 }
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Limits that servers name, kept over all gateways by messages between them.
+ */
+@NullMarked
+package io.anvilusher.gateway.limit;
+
+import org.jspecify.annotations.NullMarked;
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -24,6 +24,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.limit.LimitMeters;
 import io.anvilusher.gateway.placement.PlacementTicket;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
@@ -108,6 +109,8 @@
 
 	private final Optional<CoordinatedPlacement> coordination;
 
+	private final LimitMeters limitMeters;
+
 	/**
 	 * Creates a dispatcher.
 	 * @param dependencies the objects that it uses
@@ -129,6 +132,7 @@
 		this.retryLimits = retryLimits;
 		this.plainPlacer = new PlainPlacer(dataCentre);
 		this.coordination = dependencies.coordination();
+		this.limitMeters = dependencies.limitMeters();
 	}
 
 	/**
@@ -406,6 +410,10 @@
 		return this.announcements;
 	}
 
+	LimitMeters limitMeters() {
+		return this.limitMeters;
+	}
+
 	RunCounter runs() {
 		return this.runs;
 	}
@@ -426,11 +434,12 @@
 	 * @param random spreads the Retry-After delays
 	 * @param coordination asks coordinators where to send prompts; empty if this process
 	 * exchanges no messages with other gateways
+	 * @param limitMeters counts the requests to servers that name a limit
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
 			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random,
-			Optional<CoordinatedPlacement> coordination) {
+			Optional<CoordinatedPlacement> coordination, LimitMeters limitMeters) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -103,6 +103,7 @@
 	void start() {
 		RequestInput input = this.request.input();
 		this.trackedServer.onSent(this.sentAtMs);
+		this.dispatcher.limitMeters().onSent(this.trackedServer.server());
 		this.trackedServer.window().onSent(this.uncachedTokens, this.sentAtMs);
 		OptionalInt priority = input.head().prompt().map(this::priority).orElseGet(OptionalInt::empty);
 		ForwardingInfo info = new ForwardingInfo(serverId(), Math.max(1, input.deadlineMs() - this.sentAtMs),
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/ResponseHead.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -19,12 +20,17 @@
  * @param leaving whether the server announces that it is leaving
  * @param retryAfterMs time after which the server is to be sent requests again, in ms;
  * empty if the response does not say
+ * @param limitPerS requests per second that the server takes from all gateways together;
+ * empty if the response names no limit that is valid
+ * @param limitInvalid whether the response names a limit that is not valid, which says
+ * nothing about the limit in force
  * @param encoded whether the response has a content encoding
  * @param load requests at the server; empty if the response does not say
  * @param callerHeaders headers that are passed on to the caller
  */
 public record ResponseHead(int status, String attemptId, boolean signed, boolean notRun, boolean leaving,
-		OptionalLong retryAfterMs, boolean encoded, Optional<LoadReport> load, List<HttpHeader> callerHeaders) {
+		OptionalLong retryAfterMs, OptionalDouble limitPerS, boolean limitInvalid, boolean encoded,
+		Optional<LoadReport> load, List<HttpHeader> callerHeaders) {
 
 	public ResponseHead {
 		callerHeaders = List.copyOf(callerHeaders);
