--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
@@ -0,0 +1,111 @@
+package io.anvilusher.logic.limit;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+
+/**
+ * This gateway's side of the limits that servers name: spends the permits that the
+ * keepers issued, and asks for others. Confined to one thread.
+ */
+public final class PermitHolder {
+
+	/** Validity of a permit from the time at which the wish for it was sent, in ms. */
+	public static final long PERMIT_MS = 500;
+
+	/** Time for which a wish supports its keeper, from the time of sending, in ms. */
+	public static final long SUPPORT_MS = 1_000;
+
+	/**
+	 * Creates the holder.
+	 * @param self name of this gateway
+	 * @param run identifies this run of the process; positive and different in each run
+	 */
+	public PermitHolder(String self, long run) {
+	}
+
+	/**
+	 * Sets the registered gateways.
+	 * @param capacities the capacities by name of the gateway
+	 * @param nowMs current time of the monotonic clock
+	 */
+	public void setGateways(Map<String, Double> capacities, long nowMs) {
+	}
+
+	/**
+	 * Sets the limit of a server.
+	 * @param serverId identifies an incarnation of the server
+	 * @param limitPerS the limit in force in requests per second; empty if it has none
+	 * @param nowMs current time of the monotonic clock
+	 */
+	public void setLimit(String serverId, OptionalDouble limitPerS, long nowMs) {
+	}
+
+	/**
+	 * Returns whether a request may be sent to a server now.
+	 * @param serverId identifies an incarnation of the server
+	 * @param nowMs current time of the monotonic clock
+	 * @return true if there is a permit or the server has no limit
+	 */
+	public boolean hasPermit(String serverId, long nowMs) {
+		return true;
+	}
+
+	/**
+	 * Uses a permit for a request that is sent now.
+	 * @param serverId identifies an incarnation of the server
+	 * @param nowMs current time of the monotonic clock
+	 * @return true if there was a permit or the server has no limit
+	 */
+	public boolean tryTake(String serverId, long nowMs) {
+		return true;
+	}
+
+	/**
+	 * Counts a request that would have gone to a server if there were a permit. Called
+	 * again at least every 250 ms for a request that waits.
+	 * @param serverId identifies an incarnation of the server
+	 * @param nowMs current time of the monotonic clock
+	 */
+	public void onWanted(String serverId, long nowMs) {
+	}
+
+	/**
+	 * Counts a call that is sent whether or not there is a permit.
+	 * @param serverId identifies an incarnation of the server
+	 * @param nowMs current time of the monotonic clock
+	 */
+	public void countCall(String serverId, long nowMs) {
+	}
+
+	/**
+	 * Estimates when a request can be sent to a server.
+	 * @param serverId identifies an incarnation of the server
+	 * @param nowMs current time of the monotonic clock
+	 * @return the time until then in ms; empty if the server has no limit
+	 */
+	public OptionalLong nextPermitInMs(String serverId, long nowMs) {
+		return OptionalLong.empty();
+	}
+
+	/**
+	 * Takes in a grant.
+	 * @param gateway name of the gateway that sent it
+	 * @param grant the grant
+	 * @param nowMs current time of the monotonic clock
+	 */
+	public void receive(String gateway, PermitGrant grant, long nowMs) {
+	}
+
+	/**
+	 * Returns the wishes that are due. Called after {@link #onWanted} and at least every
+	 * 20 ms while a server has a limit.
+	 * @param nowMs current time of the monotonic clock
+	 * @return the wishes to be sent now
+	 */
+	public List<OutgoingWish> dueWishes(long nowMs) {
+		return List.of();
+	}
+
+}
