--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/limit/HeldServer.java
@@ -0,0 +1,181 @@
+package io.anvilusher.logic.limit;
+
+import java.util.Optional;
+
+/**
+ * Permits of one server, and the wishes for others.
+ */
+final class HeldServer {
+
+	/** Shortest time between two wishes. */
+	private static final long MIN_INTERVAL_MS = 20;
+
+	/** Time after which a wish that was not answered is sent again. */
+	private static final long RETRY_MS = 250;
+
+	/** Interval at which a gateway that waits for a permit renews its wish. */
+	private static final long RENEWAL_MS = 250;
+
+	/** The same while its turn comes later. */
+	private static final long LATE_RENEWAL_MS = 500;
+
+	private static final long LATE_MS = 2_000;
+
+	/** Longest time between two wishes, so that support does not end. */
+	private static final long SUPPORT_INTERVAL_MS = 800;
+
+	/** Longest time for which calls that were sent without a permit are not reported. */
+	private static final long CALLS_MS = 100;
+
+	/** Part of a second for which permits are kept after the limit has fallen. */
+	private static final double BURST_S = 0.25;
+
+	private final String serverId;
+
+	private final long run;
+
+	private final KeeperChoice choice;
+
+	private final PermitStock stock = new PermitStock();
+
+	private final PermitDemand demand = new PermitDemand();
+
+	private final SentWishes sentWishes = new SentWishes();
+
+	private double limitPerS;
+
+	private boolean limited;
+
+	private long sequence;
+
+	private long lastSentMs = Long.MIN_VALUE / 2;
+
+	private int calls;
+
+	/** Permits of the newest wish that were not granted yet. */
+	private int waitingFor;
+
+	private long nextPermitAtMs = Long.MIN_VALUE;
+
+	HeldServer(String serverId, long run, KeeperRanking ranking) {
+		this.serverId = serverId;
+		this.run = run;
+		this.choice = new KeeperChoice(ranking);
+	}
+
+	void setRanking(KeeperRanking ranking, boolean isKeeperRegistered, long nowMs) {
+		this.choice.setRanking(ranking, isKeeperRegistered, nowMs);
+	}
+
+	String keeper() {
+		return this.choice.current();
+	}
+
+	void setLimit(double newLimitPerS, long nowMs) {
+		if (this.limited && newLimitPerS < this.limitPerS) {
+			this.stock.cap((int) Math.max(1, newLimitPerS * BURST_S), nowMs);
+		}
+		this.limited = true;
+		this.limitPerS = newLimitPerS;
+	}
+
+	void endLimit() {
+		this.limited = false;
+	}
+
+	boolean isLimited() {
+		return this.limited;
+	}
+
+	/**
+	 * Returns whether no keeper counts the support of this gateway any more.
+	 * @param nowMs current time of the monotonic clock
+	 * @return whether there is no limit and the last wish is older than
+	 * {@link PermitHolder#SUPPORT_MS}
+	 */
+	boolean isOver(long nowMs) {
+		return !this.limited && nowMs - this.lastSentMs >= PermitHolder.SUPPORT_MS;
+	}
+
+	boolean hasPermit(long nowMs) {
+		return this.stock.count(nowMs) > 0;
+	}
+
+	boolean tryTake(long nowMs) {
+		boolean taken = this.stock.tryTake(nowMs);
+		if (taken) {
+			this.demand.onUsed(nowMs);
+		}
+		return taken;
+	}
+
+	void onWanted(long nowMs) {
+		this.demand.onWanted(nowMs);
+	}
+
+	void countCall(long nowMs) {
+		if (!this.stock.tryTake(nowMs)) {
+			this.calls++;
+		}
+	}
+
+	long nextPermitInMs(long nowMs) {
+		if (hasPermit(nowMs)) {
+			return 0;
+		}
+		if (this.nextPermitAtMs == Long.MIN_VALUE || !this.choice.isAnswered()) {
+			return this.choice.freeInMs(nowMs) + (long) (1_000 / this.limitPerS);
+		}
+		return Math.max(0, this.nextPermitAtMs - nowMs);
+	}
+
+	void receive(String gateway, PermitGrant grant, long nowMs) {
+		Optional<SentWishes.SentWish> found = this.sentWishes.find(gateway, grant, nowMs);
+		if (found.isEmpty()) {
+			return;
+		}
+		this.choice.onAnswer(gateway, grant.supporters(), nowMs);
+		SentWishes.SentWish answered = found.get();
+		int permits = answered.receive(grant.permits());
+		if (permits > 0) {
+			this.stock.add(permits, answered.permitsUntilMs());
+			this.demand.onGranted(answered.wish().permits(), permits);
+			this.waitingFor = 0;
+		}
+		this.nextPermitAtMs = nowMs + grant.nextPermitInMs();
+	}
+
+	Optional<OutgoingWish> dueWish(long nowMs) {
+		this.calls += this.sentWishes.expire(nowMs);
+		if (!this.limited || nowMs - this.lastSentMs < MIN_INTERVAL_MS) {
+			return Optional.empty();
+		}
+		int lacking = Math.max(0, this.demand.permits(nowMs) - this.stock.count(nowMs));
+		if (!isDue(lacking, nowMs)) {
+			return Optional.empty();
+		}
+		return this.choice.target(nowMs).map((gateway) -> send(gateway, lacking, nowMs));
+	}
+
+	private boolean isDue(int lacking, long nowMs) {
+		long sinceLastMs = nowMs - this.lastSentMs;
+		if (this.waitingFor > 0 || !this.choice.isAnswered()) {
+			boolean late = this.choice.isAnswered() && this.nextPermitAtMs - nowMs > LATE_MS;
+			return sinceLastMs >= (late ? LATE_RENEWAL_MS : Math.min(RENEWAL_MS, RETRY_MS))
+					|| lacking > 2 * Math.max(1, this.waitingFor);
+		}
+		return lacking > 0 || sinceLastMs >= SUPPORT_INTERVAL_MS || (this.calls > 0 && sinceLastMs >= CALLS_MS);
+	}
+
+	private OutgoingWish send(String gateway, int lacking, long nowMs) {
+		this.sequence = Math.max(this.sequence + 1, nowMs);
+		PermitWish wish = new PermitWish(this.serverId, this.run, this.sequence, lacking, this.calls);
+		this.sentWishes.add(gateway, wish, nowMs);
+		this.choice.onSent(nowMs);
+		this.lastSentMs = nowMs;
+		this.waitingFor = lacking;
+		this.calls = 0;
+		return new OutgoingWish(gateway, wish);
+	}
+
+}
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
@@ -1,7 +1,9 @@
 package io.anvilusher.logic.limit;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
@@ -17,12 +19,22 @@
 	/** Time for which a wish supports its keeper, from the time of sending, in ms. */
 	public static final long SUPPORT_MS = 1_000;
 
+	private final String self;
+
+	private final long run;
+
+	private final Map<String, HeldServer> servers = new HashMap<>();
+
+	private Map<String, Double> capacities = Map.of();
+
 	/**
 	 * Creates the holder.
 	 * @param self name of this gateway
 	 * @param run identifies this run of the process; positive and different in each run
 	 */
 	public PermitHolder(String self, long run) {
+		this.self = self;
+		this.run = run;
 	}
 
 	/**
@@ -31,6 +43,12 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void setGateways(Map<String, Double> capacities, long nowMs) {
+		if (this.capacities.equals(capacities)) {
+			return;
+		}
+		this.capacities = Map.copyOf(capacities);
+		this.servers.forEach((serverId, server) -> server.setRanking(ranking(serverId),
+				capacities.isEmpty() || capacities.containsKey(server.keeper()), nowMs));
 	}
 
 	/**
@@ -40,6 +58,21 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void setLimit(String serverId, OptionalDouble limitPerS, long nowMs) {
+		if (limitPerS.isPresent()) {
+			this.servers.computeIfAbsent(serverId, (id) -> new HeldServer(id, this.run, ranking(id)))
+				.setLimit(limitPerS.getAsDouble(), nowMs);
+		}
+		else {
+			Optional.ofNullable(this.servers.get(serverId)).ifPresent(HeldServer::endLimit);
+		}
+	}
+
+	private KeeperRanking ranking(String serverId) {
+		return KeeperRanking.of(this.capacities, serverId, this.self);
+	}
+
+	private Optional<HeldServer> limited(String serverId) {
+		return Optional.ofNullable(this.servers.get(serverId)).filter(HeldServer::isLimited);
 	}
 
 	/**
@@ -49,7 +82,7 @@
 	 * @return true if there is a permit or the server has no limit
 	 */
 	public boolean hasPermit(String serverId, long nowMs) {
-		return true;
+		return limited(serverId).map((server) -> server.hasPermit(nowMs)).orElse(true);
 	}
 
 	/**
@@ -59,7 +92,7 @@
 	 * @return true if there was a permit or the server has no limit
 	 */
 	public boolean tryTake(String serverId, long nowMs) {
-		return true;
+		return limited(serverId).map((server) -> server.tryTake(nowMs)).orElse(true);
 	}
 
 	/**
@@ -69,6 +102,7 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void onWanted(String serverId, long nowMs) {
+		limited(serverId).ifPresent((server) -> server.onWanted(nowMs));
 	}
 
 	/**
@@ -77,6 +111,7 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void countCall(String serverId, long nowMs) {
+		limited(serverId).ifPresent((server) -> server.countCall(nowMs));
 	}
 
 	/**
@@ -86,7 +121,8 @@
 	 * @return the time until then in ms; empty if the server has no limit
 	 */
 	public OptionalLong nextPermitInMs(String serverId, long nowMs) {
-		return OptionalLong.empty();
+		return limited(serverId).map((server) -> OptionalLong.of(server.nextPermitInMs(nowMs)))
+			.orElse(OptionalLong.empty());
 	}
 
 	/**
@@ -96,6 +132,9 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void receive(String gateway, PermitGrant grant, long nowMs) {
+		if (grant.gatewayRun() == this.run) {
+			limited(grant.serverId()).ifPresent((server) -> server.receive(gateway, grant, nowMs));
+		}
 	}
 
 	/**
@@ -105,7 +144,8 @@
 	 * @return the wishes to be sent now
 	 */
 	public List<OutgoingWish> dueWishes(long nowMs) {
-		return List.of();
+		this.servers.values().removeIf((server) -> server.isOver(nowMs));
+		return this.servers.values().stream().flatMap((server) -> server.dueWish(nowMs).stream()).toList();
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitKeeper.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitKeeper.java
@@ -1,5 +1,6 @@
 package io.anvilusher.logic.limit;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
@@ -11,11 +12,25 @@
  */
 public final class PermitKeeper {
 
+	/**
+	 * Time for which a wish counts as support, in ms. The rest of
+	 * {@link PermitHolder#SUPPORT_MS} is a margin for the delay of the fastest message
+	 * and for the interval at which support is counted.
+	 */
+	static final long COUNTED_SUPPORT_MS = 950;
+
+	private final long run;
+
+	private final Electorate electorate = new Electorate();
+
+	private final Map<String, KeptServer> servers = new HashMap<>();
+
 	/**
 	 * Creates a keeper.
 	 * @param run identifies this run of the process; positive and different in each run
 	 */
 	public PermitKeeper(long run) {
+		this.run = run;
 	}
 
 	/**
@@ -24,6 +39,7 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void setGateways(Map<String, Double> capacities, long nowMs) {
+		this.electorate.set(capacities.keySet(), nowMs);
 	}
 
 	/**
@@ -33,6 +49,14 @@
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void setLimit(String serverId, OptionalDouble limitPerS, long nowMs) {
+		if (limitPerS.isEmpty()) {
+			this.servers.remove(serverId);
+			return;
+		}
+		this.servers
+			.computeIfAbsent(serverId,
+					(id) -> new KeptServer(id, this.run, this.electorate, limitPerS.getAsDouble(), nowMs))
+			.setLimit(limitPerS.getAsDouble(), nowMs);
 	}
 
 	/**
@@ -44,7 +68,8 @@
 	 * @return the grants to be sent now: the answer, and permits for other gateways
 	 */
 	public List<OutgoingGrant> receive(String gateway, PermitWish wish, long nowMs) {
-		return List.of();
+		KeptServer server = this.servers.get(wish.serverId());
+		return (server != null) ? server.receive(gateway, wish, nowMs) : List.of();
 	}
 
 	/**
@@ -54,7 +79,7 @@
 	 * @return the grants to be sent now
 	 */
 	public List<OutgoingGrant> dueGrants(long nowMs) {
-		return List.of();
+		return this.servers.values().stream().flatMap((server) -> server.dueGrants(nowMs).stream()).toList();
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitWish.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitWish.java
@@ -20,9 +20,8 @@
 	 */
 	public PermitWish {
 		if (permits < 0 || calls < 0) {
-			throw new IllegalArgumentException(
-					"wish for server %s has %d permits and %d calls, must not be negative".formatted(serverId, permits,
-							calls));
+			throw new IllegalArgumentException("wish for server %s has %d permits and %d calls, must not be negative"
+				.formatted(serverId, permits, calls));
 		}
 	}
 
--- /dev/null
+++ b/logic/src/main/java/io/anvilusher/logic/limit/WishSender.java
@@ -0,0 +1,82 @@
+package io.anvilusher.logic.limit;
+
+/**
+ * A gateway that asks this keeper. Determines the age of its wishes from the clock of the
+ * gateway, relative to the fastest message of the last one to two minutes.
+ */
+final class WishSender {
+
+	/** Clocks drift apart, so that a smallest delay is not valid forever. */
+	private static final long DELAY_WINDOW_MS = 60_000;
+
+	private final long run;
+
+	private final long formerRun;
+
+	private long newestSequence = Long.MIN_VALUE;
+
+	private long lastHeardMs;
+
+	private long smallestLagMs = Long.MAX_VALUE;
+
+	private long formerSmallestLagMs = Long.MAX_VALUE;
+
+	private long windowStartMs;
+
+	private long supportsUntilMs = Long.MIN_VALUE;
+
+	WishSender(long run, long formerRun, long nowMs) {
+		this.run = run;
+		this.formerRun = formerRun;
+		this.windowStartMs = nowMs;
+	}
+
+	long run() {
+		return this.run;
+	}
+
+	boolean isFormerRun(long otherRun) {
+		return this.formerRun == otherRun;
+	}
+
+	long lastHeardMs() {
+		return this.lastHeardMs;
+	}
+
+	boolean supports(long nowMs) {
+		return nowMs < this.supportsUntilMs;
+	}
+
+	/**
+	 * Takes in a wish.
+	 * @param sequence time of sending on the clock of the gateway, in ms
+	 * @param nowMs current time of the monotonic clock
+	 * @return whether it is newer than all wishes before
+	 */
+	boolean receive(long sequence, long nowMs) {
+		if (sequence <= this.newestSequence) {
+			return false;
+		}
+		this.newestSequence = sequence;
+		this.lastHeardMs = nowMs;
+		if (nowMs - this.windowStartMs > DELAY_WINDOW_MS) {
+			this.formerSmallestLagMs = this.smallestLagMs;
+			this.smallestLagMs = Long.MAX_VALUE;
+			this.windowStartMs = nowMs;
+		}
+		this.smallestLagMs = Math.min(this.smallestLagMs, nowMs - sequence);
+		this.supportsUntilMs = Math.max(this.supportsUntilMs, sentMs(nowMs) + PermitKeeper.COUNTED_SUPPORT_MS);
+		return true;
+	}
+
+	/**
+	 * Returns when the newest wish was sent.
+	 * @param receivedMs time at which it was received
+	 * @return the time on the clock of this keeper, at most the smallest delay too late
+	 */
+	long sentMs(long receivedMs) {
+		long lagMs = Math.min(this.smallestLagMs, this.formerSmallestLagMs);
+		return Math.min(receivedMs, this.newestSequence + lagMs);
+	}
+
+}
