--- a/logic/src/main/java/io/anvilusher/logic/limit/HeldServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/HeldServer.java
@@ -63,12 +63,8 @@
 		this.choice = new KeeperChoice(ranking);
 	}
 
-	void setRanking(KeeperRanking ranking, boolean isKeeperRegistered, long nowMs) {
-		this.choice.setRanking(ranking, isKeeperRegistered, nowMs);
-	}
-
-	String keeper() {
-		return this.choice.current();
+	void setRanking(KeeperRanking ranking, long nowMs) {
+		this.choice.setRanking(ranking, nowMs);
 	}
 
 	void setLimit(double newLimitPerS, long nowMs) {
@@ -98,7 +94,7 @@
 	}
 
 	boolean hasPermit(long nowMs) {
-		return this.stock.count(nowMs) > 0;
+		return !this.stock.isEmpty(nowMs);
 	}
 
 	boolean tryTake(long nowMs) {
@@ -162,7 +158,7 @@
 		if (this.waitingFor > 0 || !this.choice.isAnswered()) {
 			boolean late = this.choice.isAnswered() && this.nextPermitAtMs - nowMs > LATE_MS;
 			return sinceLastMs >= (late ? LATE_RENEWAL_MS : Math.min(RENEWAL_MS, RETRY_MS))
-					|| lacking > 2 * Math.max(1, this.waitingFor);
+					|| lacking > 2 * Math.max(1, this.waitingFor) || (lacking == 0 && this.waitingFor > 0);
 		}
 		return lacking > 0 || sinceLastMs >= SUPPORT_INTERVAL_MS || (this.calls > 0 && sinceLastMs >= CALLS_MS);
 	}
--- a/logic/src/main/java/io/anvilusher/logic/limit/KeeperChoice.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/KeeperChoice.java
@@ -50,22 +50,18 @@
 	}
 
 	/**
-	 * Sets the candidates. A keeper that is no longer registered is not asked again.
+	 * Sets the candidates. A keeper that is none of them is given up, so that all
+	 * gateways move to the same one.
 	 * @param newRanking the ranking
-	 * @param isRegistered whether the keeper is still registered
 	 * @param nowMs current time of the monotonic clock
 	 */
-	void setRanking(KeeperRanking newRanking, boolean isRegistered, long nowMs) {
+	void setRanking(KeeperRanking newRanking, long nowMs) {
 		this.ranking = newRanking;
-		if (!isRegistered && !newRanking.candidates().contains(this.current)) {
+		if (!newRanking.candidates().contains(this.current)) {
 			choose(nowMs);
 		}
 	}
 
-	String current() {
-		return this.current;
-	}
-
 	/**
 	 * Returns the keeper to which a wish may be sent now.
 	 * @param nowMs current time of the monotonic clock
@@ -86,9 +82,10 @@
 	}
 
 	private boolean isWeak(long nowMs) {
-		boolean first = this.current.equals(best(nowMs, false));
-		long patienceMs = first ? FIRST_PATIENCE_MS : PATIENCE_MS;
-		return this.minoritySinceMs != Long.MAX_VALUE && nowMs - this.minoritySinceMs >= patienceMs;
+		if (this.minoritySinceMs == Long.MAX_VALUE || nowMs - this.minoritySinceMs < PATIENCE_MS) {
+			return false;
+		}
+		return nowMs - this.minoritySinceMs >= FIRST_PATIENCE_MS || !this.current.equals(best(nowMs, false));
 	}
 
 	private void choose(long nowMs) {
--- a/logic/src/main/java/io/anvilusher/logic/limit/KeptServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/KeptServer.java
@@ -37,6 +37,8 @@
 
 	private Support support = new Support(0, 0, 1);
 
+	private long turns;
+
 	private long countedMs = Long.MIN_VALUE / 2;
 
 	KeptServer(String serverId, long run, Electorate electorate, double limitPerS, long nowMs) {
@@ -54,14 +56,14 @@
 	}
 
 	List<OutgoingGrant> receive(String gateway, PermitWish wish, long nowMs) {
+		refresh(nowMs);
 		WishSender sender = senderFor(gateway, wish.run(), nowMs);
 		if (sender == null || !sender.receive(wish.sequence(), nowMs)) {
 			return List.of();
 		}
-		refresh(nowMs);
 		this.bucket.charge(wish.calls(), this.limitPerS);
 		if (wish.permits() > 0) {
-			this.waiting.add(gateway, wish, sender.sentMs(nowMs));
+			this.waiting.add(gateway, wish, sender.sentMs(nowMs), sender.lastTurn());
 		}
 		else {
 			this.waiting.remove(gateway);
@@ -85,14 +87,15 @@
 				&& this.senders.size() >= this.electorate.size() + MAX_UNREGISTERED) {
 			return null;
 		}
-		WishSender started = new WishSender(gatewayRun, (known != null) ? known.run() : 0, nowMs);
+		WishSender started = (known != null) ? known.restarted(gatewayRun, nowMs)
+				: WishSender.first(gateway, gatewayRun, nowMs);
 		this.senders.put(gateway, started);
 		this.waiting.remove(gateway);
 		return started;
 	}
 
 	List<OutgoingGrant> dueGrants(long nowMs) {
-		if (this.senders.isEmpty()) {
+		if (this.waiting.isEmpty()) {
 			return List.of();
 		}
 		refresh(nowMs);
@@ -136,13 +139,15 @@
 			}
 			this.bucket.take(permits);
 			this.waiting.remove(next.gateway());
+			this.senders.get(next.gateway()).onTurn(++this.turns);
 			grants.add(grant(next.gateway(), next.wish(), permits));
 		}
 		return grants;
 	}
 
 	private OutgoingGrant grant(String gateway, PermitWish wish, int permits) {
-		long nextMs = Math.min(LONGEST_WAIT_MS, this.bucket.timeUntilMs(this.waiting.ahead(gateway) + 1));
+		int ahead = this.waiting.ahead(gateway, this.senders.get(gateway).lastTurn());
+		long nextMs = Math.min(LONGEST_WAIT_MS, this.bucket.timeUntilMs(ahead + 1));
 		return new OutgoingGrant(gateway, new PermitGrant(this.serverId, this.run, wish.run(), wish.sequence(), permits,
 				this.support.supporters(), nextMs));
 	}
--- a/logic/src/main/java/io/anvilusher/logic/limit/KnownLimits.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/KnownLimits.java
@@ -34,7 +34,7 @@
 	public Optional<LimitNews> onResponse(String serverId, OptionalDouble limitPerS, long requestSentAtMs, long nowMs) {
 		Known before = this.known.get(serverId);
 		if (limitPerS.isPresent() && !LimitNews.isValid(limitPerS.getAsDouble())) {
-			return Optional.empty();
+			return tellAgain(serverId, nowMs);
 		}
 		if (limitPerS.isEmpty() && (before == null || requestSentAtMs <= before.news().heardAtMs())) {
 			return Optional.empty();
@@ -46,6 +46,16 @@
 		return tell ? Optional.of(news) : Optional.empty();
 	}
 
+	// The last valid value stays in force, so gateways that join must learn it.
+	private Optional<LimitNews> tellAgain(String serverId, long nowMs) {
+		Known last = this.known.get(serverId);
+		if (last == null || last.news().limitPerS().isEmpty() || nowMs - last.toldMs() < TELL_INTERVAL_MS) {
+			return Optional.empty();
+		}
+		this.known.put(serverId, new Known(last.news(), nowMs));
+		return Optional.of(last.news());
+	}
+
 	/**
 	 * Takes in news from another gateway. The newest news counts.
 	 * @param serverId identifies an incarnation of the server
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitDemand.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitDemand.java
@@ -6,7 +6,7 @@
 final class PermitDemand {
 
 	/** Time after which a request that lacked a permit is no longer expected to wait. */
-	private static final long WANTED_MS = 500;
+	private static final long WANTED_MS = 150;
 
 	/** Part of the permits used in the last second that is held in stock. */
 	private static final double STOCK_PART = 0.25;
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
@@ -1,11 +1,13 @@
 package io.anvilusher.logic.limit;
 
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * This gateway's side of the limits that servers name: spends the permits that the
@@ -19,14 +21,21 @@
 	/** Time for which a wish supports its keeper, from the time of sending, in ms. */
 	public static final long SUPPORT_MS = 1_000;
 
+	/** Interval at which servers are looked at for which no request was wanted. */
+	private static final long SCAN_INTERVAL_MS = 20;
+
 	private final String self;
 
 	private final long run;
 
 	private final Map<String, HeldServer> servers = new HashMap<>();
 
+	private final Set<HeldServer> wanted = new LinkedHashSet<>();
+
 	private Map<String, Double> capacities = Map.of();
 
+	private long lastFullScanMs = Long.MIN_VALUE / 2;
+
 	/**
 	 * Creates the holder.
 	 * @param self name of this gateway
@@ -47,8 +56,7 @@
 			return;
 		}
 		this.capacities = Map.copyOf(capacities);
-		this.servers.forEach((serverId, server) -> server.setRanking(ranking(serverId),
-				capacities.isEmpty() || capacities.containsKey(server.keeper()), nowMs));
+		this.servers.forEach((serverId, server) -> server.setRanking(ranking(serverId), nowMs));
 	}
 
 	/**
@@ -97,12 +105,15 @@
 
 	/**
 	 * Counts a request that would have gone to a server if there were a permit. Called
-	 * again at least every 250 ms for a request that waits.
+	 * again at least every 100 ms for a request that waits.
 	 * @param serverId identifies an incarnation of the server
 	 * @param nowMs current time of the monotonic clock
 	 */
 	public void onWanted(String serverId, long nowMs) {
-		limited(serverId).ifPresent((server) -> server.onWanted(nowMs));
+		limited(serverId).ifPresent((server) -> {
+			server.onWanted(nowMs);
+			this.wanted.add(server);
+		});
 	}
 
 	/**
@@ -144,8 +155,16 @@
 	 * @return the wishes to be sent now
 	 */
 	public List<OutgoingWish> dueWishes(long nowMs) {
-		this.servers.values().removeIf((server) -> server.isOver(nowMs));
-		return this.servers.values().stream().flatMap((server) -> server.dueWish(nowMs).stream()).toList();
+		boolean full = nowMs - this.lastFullScanMs >= SCAN_INTERVAL_MS;
+		if (full) {
+			this.lastFullScanMs = nowMs;
+			this.servers.values().removeIf((server) -> server.isOver(nowMs));
+		}
+		List<OutgoingWish> due = (full ? this.servers.values().stream() : this.wanted.stream())
+			.flatMap((server) -> server.dueWish(nowMs).stream())
+			.toList();
+		this.wanted.clear();
+		return due;
 	}
 
 }
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitStock.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitStock.java
@@ -21,6 +21,11 @@
 		return this.batches.stream().mapToInt(Batch::permits).sum();
 	}
 
+	boolean isEmpty(long nowMs) {
+		this.batches.removeIf((batch) -> nowMs >= batch.validUntilMs());
+		return this.batches.isEmpty();
+	}
+
 	boolean tryTake(long nowMs) {
 		while (!this.batches.isEmpty()) {
 			Batch oldest = this.batches.removeFirst();
--- a/logic/src/main/java/io/anvilusher/logic/limit/WaitingGateways.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/WaitingGateways.java
@@ -1,12 +1,13 @@
 package io.anvilusher.logic.limit;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
 /**
- * The gateways that wait for permits of a server, in the order of their turn. A gateway
- * keeps its turn while it renews its wish.
+ * The gateways that wait for permits of a server. The one that got none for the longest
+ * time comes first, so that each gateway has its turn, also if it waits only at times.
  */
 final class WaitingGateways {
 
@@ -21,12 +22,15 @@
 
 	private final Map<String, Waiting> waiting = new LinkedHashMap<>();
 
-	private long tickets;
-
-	void add(String gateway, PermitWish wish, long sentMs) {
-		Waiting before = this.waiting.get(gateway);
-		long ticket = (before != null) ? before.ticket() : ++this.tickets;
-		this.waiting.put(gateway, new Waiting(gateway, wish, sentMs, ticket));
+	/**
+	 * Adds a gateway, or renews its wish.
+	 * @param gateway name of the gateway
+	 * @param wish the wish
+	 * @param sentMs time at which the wish was sent, on the clock of the keeper
+	 * @param lastTurn number of the last turn of the gateway; negative if it had none
+	 */
+	void add(String gateway, PermitWish wish, long sentMs, long lastTurn) {
+		this.waiting.put(gateway, new Waiting(gateway, wish, sentMs, lastTurn));
 	}
 
 	void remove(String gateway) {
@@ -44,21 +48,24 @@
 	 */
 	List<Waiting> ready(long nowMs) {
 		this.waiting.values().removeIf((one) -> nowMs - one.sentMs() > LOST_MS);
-		return this.waiting.values().stream().filter((one) -> nowMs - one.sentMs() <= MAX_WISH_AGE_MS).toList();
+		return this.waiting.values()
+			.stream()
+			.filter((one) -> nowMs - one.sentMs() <= MAX_WISH_AGE_MS)
+			.sorted(Comparator.comparingLong(Waiting::lastTurn))
+			.toList();
 	}
 
 	/**
 	 * Returns how many gateways get a permit before a gateway.
 	 * @param gateway name of the gateway; it need not be waiting
-	 * @return at most the number of the waiting gateways
+	 * @param lastTurn number of its last turn
+	 * @return the number of gateways that wait and had their last turn earlier
 	 */
-	int ahead(String gateway) {
-		Waiting own = this.waiting.get(gateway);
-		if (own == null) {
-			return this.waiting.size();
-		}
-		long firstTicket = this.waiting.values().iterator().next().ticket();
-		return (int) Math.min(this.waiting.size() - 1L, own.ticket() - firstTicket);
+	int ahead(String gateway, long lastTurn) {
+		return (int) this.waiting.values()
+			.stream()
+			.filter((one) -> one.lastTurn() < lastTurn && !one.gateway().equals(gateway))
+			.count();
 	}
 
 	/**
@@ -67,9 +74,9 @@
 	 * @param gateway its name
 	 * @param wish its newest wish
 	 * @param sentMs time at which the wish was sent, on the clock of the keeper
-	 * @param ticket number of its turn
+	 * @param lastTurn number of its last turn; negative if it had none
 	 */
-	record Waiting(String gateway, PermitWish wish, long sentMs, long ticket) {
+	record Waiting(String gateway, PermitWish wish, long sentMs, long lastTurn) {
 
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/limit/WishSender.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/WishSender.java
@@ -25,12 +25,50 @@
 
 	private long supportsUntilMs = Long.MIN_VALUE;
 
-	WishSender(long run, long formerRun, long nowMs) {
+	private long lastTurn;
+
+	private WishSender(long run, long formerRun, long lastTurn, long nowMs) {
 		this.run = run;
 		this.formerRun = formerRun;
+		this.lastTurn = lastTurn;
 		this.windowStartMs = nowMs;
 	}
 
+	/**
+	 * Returns a sender that has not been heard of. Before its first turn it ranks by its
+	 * name and not by its first wish, since the longest waiting requests may end before
+	 * they get a permit.
+	 * @param gateway name of the gateway
+	 * @param run run of its process
+	 * @param nowMs current time of the monotonic clock
+	 * @return the sender
+	 */
+	static WishSender first(String gateway, long run, long nowMs) {
+		return new WishSender(run, 0, Math.min(-1L, -(long) (gateway.hashCode() & Integer.MAX_VALUE)), nowMs);
+	}
+
+	/**
+	 * Returns the sender after a restart of the gateway.
+	 * @param newRun the new run of its process
+	 * @param nowMs current time of the monotonic clock
+	 * @return the sender, which supports the keeper only after its next wish
+	 */
+	WishSender restarted(long newRun, long nowMs) {
+		return new WishSender(newRun, this.run, this.lastTurn, nowMs);
+	}
+
+	/**
+	 * Returns the last turn in which the gateway got permits.
+	 * @return the number of the turn; negative if there was none
+	 */
+	long lastTurn() {
+		return this.lastTurn;
+	}
+
+	void onTurn(long turn) {
+		this.lastTurn = turn;
+	}
+
 	long run() {
 		return this.run;
 	}
