Keep the limits that servers name over all gateways

Cause: no gateway read the limit, and none knows what the others send.

Change: each response that belongs to its request, refusals and prefills included, tells whether its server has a limit; other gateways are told at once. A request is sent to a limited server only with a permit of the server's keeper (logic.limit): first sends, retries, resumed streams, prefills and fetches of KV caches. Placement leaves servers without a permit out and notes them as wanted; without another server, the request waits if its permit comes within its queue time, and is otherwise refused at once with the time until the next permit. A coordinator is not asked for engines without a permit, and its choice is rejected if a permit has run out meanwhile. A decode engine's permit is taken before the prefill; if it has expired, another one is taken, another engine is used, or the fetch waits while it can be on time. Load reports before a short prompt are not asked for at limited engines; the polls and orders of the duty holder and the freeing of KV caches are counted against the limit.

Without a limit, nothing is activated: no message, no store call, one check of an empty map per placement (SharedServerLimitsTests).

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -45,6 +45,8 @@
 import io.anvilusher.gateway.http.GatewayHttpServer;
 import io.anvilusher.gateway.http.ReadinessServer;
 import io.anvilusher.gateway.limit.LimitMeters;
+import io.anvilusher.gateway.limit.ServerLimits;
+import io.anvilusher.gateway.limit.SharedServerLimits;
 import io.anvilusher.gateway.peer.LocalPeerChannel;
 import io.anvilusher.gateway.peer.ManagedPeerChannel;
 import io.anvilusher.gateway.peer.Peer;
@@ -215,18 +217,20 @@
 					runCounter, new UsageReporter.Dependencies(this.adapter.usageLog(), reports), this.control,
 					this.clock, timeOfDayMs));
 		this.context = new ControlContext(this.control, this.clock, this.meters);
-		LimitMeters limitMeters = new LimitMeters(this.meters);
+		ManagedPeerChannel peerChannel = createPeerChannel();
+		ServerLimits limits = new SharedServerLimits(peerChannel, thread, this.clock, new LimitMeters(this.meters),
+				() -> this.serversInUse, random);
 		ServerAnnouncements announcements = new ServerAnnouncements(this.serverRegistry, this.meters, this.clock,
-				limitMeters);
+				limits);
 		EngineControlClient engineControl = this.adapter.engineControl(
 				(engine, head, path) -> thread.execute(() -> announcements.onControlHead(engine, head, path)));
 		this.roleController = new RoleController(this.dutyMembership, settings.process(),
-				new AvailableEngineControl(engineControl, this.serverRegistry::isAccepting, thread::execute),
+				new AvailableEngineControl(engineControl, this.serverRegistry::isAccepting,
+						(engine) -> limits.countCall(engine.address()), thread::execute),
 				() -> this.serversInUse, this.context);
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
 		this.suspects = new SuspectGuard(settings.process(), engineControl, thread, this.adapter.suspects(),
 				this.context, timeOfDayMs, random);
-		ManagedPeerChannel peerChannel = createPeerChannel();
 		Timers timers = new TrafficTimers(thread, this.clock);
 		this.coordination = new CoordinatedPlacement(
 				new PlacementClient(peerChannel, timers, this.meters, random.nextLong() >>> 16), peerChannel,
@@ -239,7 +243,7 @@
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
-						Optional.of(this.coordination), limitMeters),
+						Optional.of(this.coordination), limits),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), settings.clients().callers(), this.worker,
 				this.adapter.format(), dispatcher, this.routes::get, this.clock, this.meters, random,
--- a/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -18,6 +19,8 @@
 
 	private final Predicate<RegisteredServer> accepting;
 
+	private final Consumer<RegisteredServer> callListener;
+
 	private final Executor trafficThread;
 
 	/**
@@ -25,12 +28,14 @@
 	 * @param delegate makes the calls
 	 * @param accepting returns whether an engine takes requests; called on the traffic
 	 * thread
+	 * @param callListener is told each engine that is called, on the traffic thread
 	 * @param trafficThread runs tasks on the traffic thread
 	 */
 	public AvailableEngineControl(EngineControlClient delegate, Predicate<RegisteredServer> accepting,
-			Executor trafficThread) {
+			Consumer<RegisteredServer> callListener, Executor trafficThread) {
 		this.delegate = delegate;
 		this.accepting = accepting;
+		this.callListener = callListener;
 		this.trafficThread = trafficThread;
 	}
 
@@ -54,8 +59,16 @@
 
 	private <T> CompletableFuture<T> callIfAccepting(RegisteredServer engine, Supplier<CompletableFuture<T>> call,
 			T heldBack) {
-		return CompletableFuture.supplyAsync(() -> this.accepting.test(engine), this.trafficThread)
+		return CompletableFuture.supplyAsync(() -> checkCall(engine), this.trafficThread)
 			.thenCompose((accepts) -> accepts ? call.get() : CompletableFuture.completedFuture(heldBack));
 	}
 
+	private boolean checkCall(RegisteredServer engine) {
+		boolean accepts = this.accepting.test(engine);
+		if (accepts) {
+			this.callListener.accept(engine);
+		}
+		return accepts;
+	}
+
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
@@ -5,7 +5,7 @@
 
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
-import io.anvilusher.gateway.limit.LimitMeters;
+import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.fleet.RegisteredServer;
@@ -28,16 +28,17 @@
 
 	private final MonotonicClock clock;
 
-	private final LimitMeters limits;
+	private final ServerLimits limits;
 
 	/**
 	 * Creates an instance.
 	 * @param serverRegistry the servers
 	 * @param meters counts the announcements
 	 * @param clock the monotonic clock
-	 * @param limits records the limits that servers name
+	 * @param limits limits that servers name
 	 */
-	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock, LimitMeters limits) {
+	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock,
+			ServerLimits limits) {
 		this.serverRegistry = serverRegistry;
 		this.meters = meters;
 		this.clock = clock;
@@ -50,12 +51,13 @@
 	 * @param server the server that the request was sent to
 	 * @param head head of the response that belongs to the request
 	 * @param requestId identifier of the request, for the log
+	 * @param sentAtMs time at which the request was sent, by the monotonic clock
 	 */
-	public void onHead(TrackedServer server, ResponseHead head, String requestId) {
+	public void onHead(TrackedServer server, ResponseHead head, String requestId, long sentAtMs) {
 		if (head.status() == MISDIRECTED) {
 			return;
 		}
-		onLimit(server, head);
+		onLimit(server, head, sentAtMs);
 		onAvailability(server, head, requestId);
 	}
 
@@ -73,12 +75,12 @@
 		}
 	}
 
-	private void onLimit(TrackedServer server, ResponseHead head) {
+	private void onLimit(TrackedServer server, ResponseHead head, long sentAtMs) {
 		if (head.limitInvalid()) {
-			this.limits.onInvalid(server.server(), this.clock.nowMs());
+			this.limits.onInvalid(server.server());
 		}
 		else {
-			this.limits.onLimit(server.server(), head.limitPerS(), this.clock.nowMs());
+			this.limits.onResponse(server.server(), head.limitPerS(), sentAtMs);
 		}
 	}
 
@@ -112,7 +114,7 @@
 		}
 		this.serverRegistry.tracked(engine).ifPresent((server) -> {
 			if (head.limitPerS().isPresent() || head.limitInvalid()) {
-				onLimit(server, head);
+				onLimit(server, head, this.clock.nowMs());
 			}
 			onAvailability(server, head, call);
 		});
--- a/gateway/src/main/java/io/anvilusher/gateway/limit/LimitMeters.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/LimitMeters.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
-import java.util.Set;
 
 import io.micrometer.core.instrument.Counter;
 import org.slf4j.Logger;
@@ -111,17 +110,10 @@
 	}
 
 	/**
-	 * Forgets the limits of servers that are gone.
-	 * @param serverIds ids of the servers that are left
+	 * Counts a message from another gateway that is not readable.
 	 */
-	public void retain(Set<String> serverIds) {
-		this.limited.entrySet().removeIf((entry) -> {
-			boolean gone = !serverIds.contains(entry.getKey());
-			if (gone) {
-				entry.getValue().meters.limitPerS = Double.NaN;
-			}
-			return gone;
-		});
+	void onUnreadable() {
+		this.meters.counter("anvilusher.server.limit.messages.unreadable").increment();
 	}
 
 	private ServerMeters metersOf(RegisteredServer server) {
--- a/gateway/src/main/java/io/anvilusher/gateway/peer/MessageType.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/peer/MessageType.java
@@ -22,7 +22,16 @@
 	PLACEMENT_REPLY(4),
 
 	/** The end of a placed request or of its prefill. */
-	PLACEMENT_END(5);
+	PLACEMENT_END(5),
+
+	/** The limit that a server names, or its end. */
+	SERVER_LIMIT(6),
+
+	/** A gateway's wish for permits to send requests to a limited server. */
+	PERMIT_WISH(7),
+
+	/** Permits to send requests to a limited server. */
+	PERMIT_GRANT(8);
 
 	private final int code;
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.micrometer.core.instrument.Timer;
 import org.slf4j.Logger;
@@ -24,7 +26,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
-import io.anvilusher.gateway.limit.LimitMeters;
+import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.placement.PlacementTicket;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
@@ -109,7 +111,7 @@
 
 	private final Optional<CoordinatedPlacement> coordination;
 
-	private final LimitMeters limitMeters;
+	private final ServerLimits limits;
 
 	/**
 	 * Creates a dispatcher.
@@ -132,7 +134,8 @@
 		this.retryLimits = retryLimits;
 		this.plainPlacer = new PlainPlacer(dataCentre);
 		this.coordination = dependencies.coordination();
-		this.limitMeters = dependencies.limitMeters();
+		this.limits = dependencies.limits();
+		this.limits.onPermits(this::placeAllQueued);
 	}
 
 	/**
@@ -166,7 +169,12 @@
 	}
 
 	Placement place(GatewayRequest request, Set<String> excludedServers) {
-		List<TrackedServer> servers = this.serverRegistry.servers(request.input().service());
+		return request.limitedPlacement()
+			.place(this.serverRegistry.servers(request.input().service()),
+					(servers) -> place(request, servers, excludedServers), nowMs());
+	}
+
+	private Placement place(GatewayRequest request, List<TrackedServer> servers, Set<String> excludedServers) {
 		return request.input()
 			.head()
 			.prompt()
@@ -191,8 +199,11 @@
 	}
 
 	Optional<TrackedServer> placeDecode(GatewayRequest request, TrackedServer source, Set<String> excludedServers) {
-		return this.enginePlacer.placeDecode(source, this.serverRegistry.servers(request.input().service()),
-				excludedServers, request.input().route().targetMs(), nowMs());
+		return request.limitedPlacement()
+			.placeDecode(
+					this.serverRegistry.servers(request.input().service()), (engines) -> this.enginePlacer
+						.placeDecode(source, engines, excludedServers, request.input().route().targetMs(), nowMs()),
+					nowMs());
 	}
 
 	List<TrackedServer> enginesToProbe(GatewayRequest request, Set<String> excludedServers) {
@@ -237,6 +248,10 @@
 	}
 
 	private CompletableFuture<Void> requestReport(TrackedServer engine) {
+		if (this.limits.isLimited(engine)) {
+			this.meters.counter("anvilusher.engine.probes", "outcome", "held_back").increment();
+			return CompletableFuture.completedFuture(null);
+		}
 		return this.engineControl.report(engine.server()).thenAccept((report) -> {
 			String outcome = report.isPresent() ? "report" : "none";
 			this.meters.counter("anvilusher.engine.probes", "outcome", outcome).increment();
@@ -259,8 +274,18 @@
 			.head()
 			.prompt()
 			.filter((prompt) -> request.input().route().carriesPrompt())
-			.flatMap((prompt) -> this.coordination
-				.flatMap((coordinated) -> coordinated.ask(request.input(), prompt, excludedServers, listener)));
+			.flatMap((prompt) -> this.coordination.flatMap((coordinated) -> coordinated.ask(request.input(), prompt,
+					withoutPermit(request, excludedServers), listener)));
+	}
+
+	private Set<String> withoutPermit(GatewayRequest request, Set<String> excludedServers) {
+		return Stream
+			.concat(excludedServers.stream(),
+					request.limitedPlacement()
+						.lacking(this.serverRegistry.servers(request.input().service()), nowMs())
+						.stream()
+						.map((server) -> server.server().id()))
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 	/**
@@ -314,6 +339,10 @@
 		serviceState(service).queue().placeQueued(GatewayRequest::tryPlace);
 	}
 
+	private void placeAllQueued() {
+		this.serviceStates.values().forEach((state) -> state.queue().placeQueued(GatewayRequest::tryPlace));
+	}
+
 	RefusalReason noServerReason(String service) {
 		return this.serverRegistry.isAnyPaused(service) ? RefusalReason.SERVICE_SATURATED : RefusalReason.NO_SERVER;
 	}
@@ -329,6 +358,7 @@
 			schedule(pauseLeftMs, () -> freeKvCache(fetch));
 			return;
 		}
+		this.limits.countCall(fetch.source());
 		RunningCall call = this.client.start(this.format.freeHandle(fetch.source(), fetch.handle()),
 				FreeKvCacheListener.INSTANCE);
 		schedule(FREE_KV_CACHE_TIMEOUT_MS, call::cancel);
@@ -339,6 +369,16 @@
 		if (firstAcceptsInMs.isPresent()) {
 			return firstAcceptsInMs.getAsLong();
 		}
+		long nowMs = nowMs();
+		Set<String> unhealthy = this.serverRegistry.servers(service)
+			.stream()
+			.filter((server) -> server.health().isUnhealthy(nowMs))
+			.map((server) -> server.server().id())
+			.collect(Collectors.toUnmodifiableSet());
+		OptionalLong nextPermitInMs = nextPermitInMs(service, unhealthy);
+		if (nextPermitInMs.isPresent()) {
+			return Math.max(1, nextPermitInMs.getAsLong());
+		}
 		double pendingUnits = this.serverRegistry.servers(service)
 			.stream()
 			.mapToDouble((server) -> server.window().pendingTokens() + 1)
@@ -346,6 +386,21 @@
 		return serviceState(service).retryAfter().retryAfterMs(pendingUnits, this.random.nextDouble(), nowMs());
 	}
 
+	/**
+	 * Estimates when a request can be sent to one of the servers of a service that run
+	 * complete requests, if all of them have limits.
+	 * @param service name of the service
+	 * @param excludedServers ids of servers that are not to be used
+	 * @return the time in ms; empty if a limit is not what keeps the request from a
+	 * server
+	 */
+	OptionalLong nextPermitInMs(String service, Set<String> excludedServers) {
+		return this.limits.nextPermitInMs(this.serverRegistry.servers(service)
+			.stream()
+			.filter((server) -> !server.isPrefill() && !excludedServers.contains(server.server().id()))
+			.toList());
+	}
+
 	ServiceState serviceState(String service) {
 		return this.serviceStates.computeIfAbsent(service,
 				(name) -> new ServiceState(new PlacementQueue<>(), new RetryAfterEstimator(),
@@ -410,8 +465,8 @@
 		return this.announcements;
 	}
 
-	LimitMeters limitMeters() {
-		return this.limitMeters;
+	ServerLimits limits() {
+		return this.limits;
 	}
 
 	RunCounter runs() {
@@ -434,12 +489,12 @@
 	 * @param random spreads the Retry-After delays
 	 * @param coordination asks coordinators where to send prompts; empty if this process
 	 * exchanges no messages with other gateways
-	 * @param limitMeters counts the requests to servers that name a limit
+	 * @param limits limits that servers name
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
 			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random,
-			Optional<CoordinatedPlacement> coordination, LimitMeters limitMeters) {
+			Optional<CoordinatedPlacement> coordination, ServerLimits limits) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -17,6 +17,7 @@
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.placement.Placement;
+import io.anvilusher.logic.placement.PlacementQueue;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.logic.request.EventSplitter;
@@ -51,6 +52,11 @@
 	 */
 	private static final int MAX_PENDING_BYTES = 256 * 1024;
 
+	/**
+	 * Interval of the checks of a request that waits for a permit for a decode engine.
+	 */
+	private static final long PERMIT_CHECK_INTERVAL_MS = 5;
+
 	/** Memory of a stream up to which it is not accounted for. */
 	private static final int SMALL_STREAM_BYTES = 16 * 1024;
 
@@ -79,6 +85,8 @@
 	private Runnable cancelTimeout = () -> {
 	};
 
+	private final LimitedPlacement limitedPlacement;
+
 	private @Nullable TrackedServer decodeServer;
 
 	private @Nullable PlacementTicket ticket;
@@ -110,6 +118,7 @@
 	GatewayRequest(Dispatcher dispatcher, RequestInput input) {
 		this.dispatcher = dispatcher;
 		this.input = input;
+		this.limitedPlacement = new LimitedPlacement(dispatcher.limits(), dispatcher.meters(), input.service());
 		this.response = new CallerResponse(input.exchange());
 		this.streamAccount = dispatcher.client().memory().open();
 		input.exchange().addExchangeCompleteListener((ended, next) -> {
@@ -136,6 +145,10 @@
 		return this.input;
 	}
 
+	LimitedPlacement limitedPlacement() {
+		return this.limitedPlacement;
+	}
+
 	void start() {
 		guard(() -> {
 			this.response.onCallerDisconnected(() -> guard(this::onCallerDisconnected));
@@ -239,9 +252,21 @@
 	}
 
 	private void placeOrEnqueueNow() {
-		if (!tryPlace() && !this.dispatcher.enqueue(this)) {
+		if (tryPlace()) {
+			return;
+		}
+		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers);
+		if (nextPermitInMs.orElse(0) > maxQueueTimeMs() || !this.dispatcher.enqueue(this)) {
 			refuseSaturated();
 		}
+		else if (nextPermitInMs.isPresent()) {
+			this.limitedPlacement.onWaiting();
+		}
+	}
+
+	private long maxQueueTimeMs() {
+		return Math.min(PlacementQueue.maxQueueTimeMs(this.input.route().targetMs()),
+				this.input.timeoutAtMs() - this.dispatcher.nowMs());
 	}
 
 	/**
@@ -269,15 +294,14 @@
 			return false;
 		}
 		if (placement instanceof Placement.SingleServer unsplit) {
-			send(unsplit.server(), unsplit.uncachedTokens(), new KvStep.None(), null);
+			return trySend(unsplit.server(), unsplit.uncachedTokens(), new KvStep.None(), null);
 		}
 		else if (placement instanceof Placement.Split split) {
 			if (!mayPrefillAgain()) {
 				refuse(RefusalReason.SERVICE_SATURATED);
 				return true;
 			}
-			this.decodeServer = split.decode();
-			send(split.prefill(), split.uncachedTokens(), new KvStep.Prefill(), null);
+			return tryPrefill(split.prefill(), split.decode(), split.uncachedTokens());
 		}
 		else {
 			refuse(noServerReason());
@@ -285,6 +309,14 @@
 		return true;
 	}
 
+	private boolean tryPrefill(TrackedServer prefill, TrackedServer decode, int uncachedTokens) {
+		if (!this.limitedPlacement.takeForDecode(decode, this.dispatcher.nowMs())) {
+			return false;
+		}
+		this.decodeServer = decode;
+		return trySend(prefill, uncachedTokens, new KvStep.Prefill(), null);
+	}
+
 	private void onAssigned(PlacementDecision.Assigned assigned) {
 		if (this.done || refuseSuspect()) {
 			endTicket();
@@ -300,16 +332,31 @@
 			return;
 		}
 		this.late = assigned.late();
+		List<TrackedServer> lacking = this.limitedPlacement
+			.lacking(Stream.of(engine, decode).flatMap(Optional::stream).toList(), this.dispatcher.nowMs());
+		if (!lacking.isEmpty()) {
+			rejectAssignment(lacking.get(0));
+			return;
+		}
 		if (decode.isEmpty()) {
-			send(engine.get(), assigned.uncachedTokens(), new KvStep.None(), null);
+			if (!trySend(engine.get(), assigned.uncachedTokens(), new KvStep.None(), null)) {
+				rejectAssignment(engine.get());
+			}
 			return;
 		}
 		if (!mayPrefillAgain()) {
 			refuse(RefusalReason.SERVICE_SATURATED);
 			return;
 		}
-		this.decodeServer = decode.get();
-		send(engine.get(), assigned.uncachedTokens(), new KvStep.Prefill(), null);
+		if (!tryPrefill(engine.get(), decode.get(), assigned.uncachedTokens())) {
+			rejectAssignment(engine.get());
+		}
+	}
+
+	// The coordinator does not know which permits this gateway has.
+	private void rejectAssignment(TrackedServer engine) {
+		failTicket(engine.server().id(), true);
+		placeWithoutCoordinator();
 	}
 
 	// The retry budget allowed one more attempt. Running the prefill again as well adds a
@@ -369,6 +416,15 @@
 		}
 	}
 
+	private boolean trySend(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
+		boolean permitted = this.dispatcher.limits().tryTake(server);
+		if (permitted) {
+			send(server, uncachedTokens, step, prefill);
+		}
+		return permitted;
+	}
+
+	// Called only with a permit, or for a server without a limit.
 	private void send(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
 		this.sends++;
 		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
@@ -404,10 +460,32 @@
 			return;
 		}
 		// The prefill of a long prompt takes seconds, in which the decode engine may have
-		// started to drain.
-		Optional<TrackedServer> target = this.dispatcher.isAccepting(this.decodeServer) ? Optional.of(this.decodeServer)
-				: this.dispatcher.placeDecode(this, attempt.promptServer(), this.excludedServers);
-		target.ifPresentOrElse((engine) -> send(engine, 1, fetch, attempt), () -> refuse(noServerReason()));
+		// started to drain, and the permit for it may have expired.
+		if (this.dispatcher.isAccepting(this.decodeServer)
+				&& this.limitedPlacement.mayDecode(this.decodeServer, this.dispatcher.nowMs())) {
+			send(this.decodeServer, 1, fetch, attempt);
+			return;
+		}
+		fetchOrWait(fetch, attempt);
+	}
+
+	private void fetchOrWait(KvStep.Fetch fetch, ServerAttempt prefill) {
+		if (this.done || tryFetch(fetch, prefill)) {
+			return;
+		}
+		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers);
+		long leftMs = this.input.arrivedAtMs() + this.input.route().targetMs() - this.dispatcher.nowMs();
+		if (nextPermitInMs.isPresent() && nextPermitInMs.getAsLong() < leftMs) {
+			this.dispatcher.schedule(PERMIT_CHECK_INTERVAL_MS, () -> guard(() -> fetchOrWait(fetch, prefill)));
+			return;
+		}
+		refuse(nextPermitInMs.isPresent() ? RefusalReason.SERVICE_SATURATED : noServerReason());
+	}
+
+	private boolean tryFetch(KvStep.Fetch fetch, ServerAttempt prefill) {
+		return this.dispatcher.placeDecode(this, prefill.promptServer(), this.excludedServers)
+			.filter((engine) -> trySend(engine, 1, fetch, prefill))
+			.isPresent();
 	}
 
 	/**
@@ -510,10 +588,7 @@
 		if (!(attempt.step() instanceof KvStep.Fetch fetch) || this.unfetchedKvCache.isEmpty()) {
 			return false;
 		}
-		Optional<TrackedServer> target = this.dispatcher.placeDecode(this, attempt.promptServer(),
-				this.excludedServers);
-		target.ifPresent((engine) -> send(engine, 1, fetch, attempt.prefill()));
-		return target.isPresent();
+		return attempt.prefill() != null && tryFetch(fetch, attempt.prefill());
 	}
 
 	private void finishFailed(AttemptFailure failure, RefusalReason reason) {
@@ -533,6 +608,10 @@
 		// reason that contradicts what is known about the attempts is replaced.
 		RefusalReason reason = (proposed.notRun() && this.mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
 		reason = (!proposed.notRun() && !this.mayHaveRun) ? RefusalReason.NO_SERVER : reason;
+		if (reason == RefusalReason.SERVICE_SATURATED
+				&& this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers).isPresent()) {
+			this.limitedPlacement.onRefused();
+		}
 		OptionalLong retryAfterMs = retryAfterMs(reason);
 		finish(reason.code(), reason.httpStatus());
 		this.dispatcher.meters().refused(this.input.service(), reason);
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -103,7 +103,6 @@
 	void start() {
 		RequestInput input = this.request.input();
 		this.trackedServer.onSent(this.sentAtMs);
-		this.dispatcher.limitMeters().onSent(this.trackedServer.server());
 		this.trackedServer.window().onSent(this.uncachedTokens, this.sentAtMs);
 		OptionalInt priority = input.head().prompt().map(this::priority).orElseGet(OptionalInt::empty);
 		ForwardingInfo info = new ForwardingInfo(serverId(), Math.max(1, input.deadlineMs() - this.sentAtMs),
@@ -235,7 +234,7 @@
 		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId());
 		if (matchesRequest) {
 			this.dispatcher.announcements()
-				.onHead(this.trackedServer, response, this.request.input().head().attemptId());
+				.onHead(this.trackedServer, response, this.request.input().head().attemptId(), this.sentAtMs);
 		}
 		if (!matchesRequest || response.encoded()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
--- a/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PlacementQueue.java
@@ -29,6 +29,15 @@
 
 	private final List<QueuedRequest<T>> queue = new ArrayList<>();
 
+	/**
+	 * Returns how long a request may be queued.
+	 * @param targetMs target latency of the request
+	 * @return the time in ms
+	 */
+	public static long maxQueueTimeMs(long targetMs) {
+		return (long) (MAX_QUEUE_TIME_SHARE * targetMs);
+	}
+
 	/**
 	 * Adds a request at the end of the queue.
 	 * @param request the request
@@ -41,7 +50,7 @@
 		if (this.queue.size() >= MAX_LENGTH) {
 			return false;
 		}
-		this.queue.add(new QueuedRequest<>(request, nowMs + (long) (MAX_QUEUE_TIME_SHARE * targetMs)));
+		this.queue.add(new QueuedRequest<>(request, nowMs + maxQueueTimeMs(targetMs)));
 		return true;
 	}
 
