--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -225,7 +225,7 @@
 		EngineControlClient engineControl = this.adapter.engineControl(
 				(engine, head, path) -> thread.execute(() -> announcements.onControlHead(engine, head, path)));
 		this.roleController = new RoleController(this.dutyMembership, settings.process(),
-				new AvailableEngineControl(engineControl, this.serverRegistry::isAccepting,
+				new AvailableEngineControl(engineControl, this.serverRegistry::isAccepting, limits::allowsPolls,
 						(engine) -> limits.countCall(engine.address()), thread::execute),
 				() -> this.serversInUse, this.context);
 		this.lagMonitor = new TrafficLagMonitor(thread, this.clock, this.meters, this.serverRegistry::onObserverDelay);
--- a/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
@@ -19,6 +19,8 @@
 
 	private final Predicate<RegisteredServer> accepting;
 
+	private final Predicate<RegisteredServer> polled;
+
 	private final Consumer<RegisteredServer> callListener;
 
 	private final Executor trafficThread;
@@ -28,26 +30,29 @@
 	 * @param delegate makes the calls
 	 * @param accepting returns whether an engine takes requests; called on the traffic
 	 * thread
+	 * @param polled returns whether an engine may be asked for reports; called on the
+	 * traffic thread
 	 * @param callListener is told each engine that is called, on the traffic thread
 	 * @param trafficThread runs tasks on the traffic thread
 	 */
 	public AvailableEngineControl(EngineControlClient delegate, Predicate<RegisteredServer> accepting,
-			Consumer<RegisteredServer> callListener, Executor trafficThread) {
+			Predicate<RegisteredServer> polled, Consumer<RegisteredServer> callListener, Executor trafficThread) {
 		this.delegate = delegate;
 		this.accepting = accepting;
+		this.polled = polled;
 		this.callListener = callListener;
 		this.trafficThread = trafficThread;
 	}
 
 	@Override
 	public CompletableFuture<Optional<EngineReport>> report(RegisteredServer engine) {
-		return callIfAccepting(engine, () -> this.delegate.report(engine), Optional.empty());
+		return callIf(this.polled, engine, () -> this.delegate.report(engine), Optional.empty());
 	}
 
 	@Override
 	public CompletableFuture<Outcome> changeRole(RegisteredServer engine, EngineRole role, OrderIssuer issuer,
 			long ordersBefore) {
-		return callIfAccepting(engine, () -> this.delegate.changeRole(engine, role, issuer, ordersBefore),
+		return callIf((target) -> true, engine, () -> this.delegate.changeRole(engine, role, issuer, ordersBefore),
 				Outcome.HELD_BACK);
 	}
 
@@ -57,14 +62,14 @@
 		return this.delegate.acceptsConnections(server);
 	}
 
-	private <T> CompletableFuture<T> callIfAccepting(RegisteredServer engine, Supplier<CompletableFuture<T>> call,
-			T heldBack) {
-		return CompletableFuture.supplyAsync(() -> checkCall(engine), this.trafficThread)
+	private <T> CompletableFuture<T> callIf(Predicate<RegisteredServer> allowed, RegisteredServer engine,
+			Supplier<CompletableFuture<T>> call, T heldBack) {
+		return CompletableFuture.supplyAsync(() -> checkCall(engine, allowed), this.trafficThread)
 			.thenCompose((accepts) -> accepts ? call.get() : CompletableFuture.completedFuture(heldBack));
 	}
 
-	private boolean checkCall(RegisteredServer engine) {
-		boolean accepts = this.accepting.test(engine);
+	private boolean checkCall(RegisteredServer engine, Predicate<RegisteredServer> allowed) {
+		boolean accepts = this.accepting.test(engine) && allowed.test(engine);
 		if (accepts) {
 			this.callListener.accept(engine);
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/limit/LimitMessages.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/LimitMessages.java
@@ -48,7 +48,9 @@
 	static byte[] encode(ToldLimit limit) {
 		return write(limit.serverId(), (out) -> {
 			out.writeDouble(limit.limitPerS().orElse(Double.NaN));
-			out.writeLong(limit.ageMs());
+			out.writeLong(Math.min(MAX_TIME_MS, limit.ageMs()));
+			out.writeLong(limit.run());
+			out.writeLong(limit.sentAtMs());
 		});
 	}
 
@@ -78,7 +80,7 @@
 			double limitPerS = in.getDouble();
 			return new ToldLimit(serverId,
 					Double.isNaN(limitPerS) ? OptionalDouble.empty() : OptionalDouble.of(limitPerS),
-					inRange(in.getLong(), MAX_TIME_MS));
+					inRange(in.getLong(), MAX_TIME_MS), inRange(in.getLong(), Long.MAX_VALUE), in.getLong());
 		});
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/limit/ServerLimits.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/ServerLimits.java
@@ -56,6 +56,13 @@
 	 */
 	void onWanted(TrackedServer server);
 
+	/**
+	 * Returns whether a server may be polled for its state.
+	 * @param server registration of the server
+	 * @return false if the polls would take a large part of its limit
+	 */
+	boolean allowsPolls(RegisteredServer server);
+
 	/**
 	 * Counts a call that is sent to a server whether or not there is a permit.
 	 * @param address address (IP and port) of the server
@@ -76,6 +83,6 @@
 	void onPermits(Runnable listener);
 
 	/** Interval at which a request that waits is counted again as wanted, in ms. */
-	long WANTED_INTERVAL_MS = 250;
+	long WANTED_INTERVAL_MS = 100;
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/limit/SharedServerLimits.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/SharedServerLimits.java
@@ -20,6 +20,7 @@
 import io.anvilusher.gateway.peer.MessageType;
 import io.anvilusher.logic.limit.KnownLimits;
 import io.anvilusher.logic.limit.LimitNews;
+import io.anvilusher.logic.limit.MessageAges;
 import io.anvilusher.logic.limit.OutgoingGrant;
 import io.anvilusher.logic.limit.PermitGrant;
 import io.anvilusher.logic.limit.PermitHolder;
@@ -44,6 +45,9 @@
 	 */
 	private static final long REPEAT_INTERVAL_MS = 1_000;
 
+	/** Smallest limit of a server that is polled: several times the rate of the polls. */
+	private static final double MIN_POLLED_LIMIT_PER_S = 5;
+
 	private final ManagedPeerChannel channel;
 
 	private final XnioExecutor thread;
@@ -63,7 +67,12 @@
 	/** The limits in force by incarnation of the server. */
 	private final Map<String, Limited> limited = new HashMap<>();
 
-	private final Map<Report, Long> reportedAtMs = new HashMap<>();
+	/** The limits that were told last to other gateways; NaN for one that has ended. */
+	private final Map<Recipient, Double> told = new HashMap<>();
+
+	private final MessageAges ages = new MessageAges();
+
+	private final long run;
 
 	private final LogInterval failureLog = new LogInterval();
 
@@ -87,14 +96,14 @@
 	 */
 	public SharedServerLimits(ManagedPeerChannel channel, XnioExecutor thread, MonotonicClock clock, LimitMeters meters,
 			Supplier<List<RegisteredServer>> servers, RandomGenerator random) {
-		long run = random.nextLong(1, Long.MAX_VALUE);
+		this.run = random.nextLong(1, Long.MAX_VALUE);
 		this.channel = channel;
 		this.thread = thread;
 		this.clock = clock;
 		this.meters = meters;
 		this.servers = new ServerIncarnations(servers);
-		this.holder = new PermitHolder(channel.self(), run);
-		this.keeper = new PermitKeeper(run);
+		this.holder = new PermitHolder(channel.self(), this.run);
+		this.keeper = new PermitKeeper(this.run);
 		channel.onMessage(MessageType.SERVER_LIMIT, this::onLimitMessage);
 		channel.onMessage(MessageType.PERMIT_WISH, this::onWishMessage);
 		channel.onMessage(MessageType.PERMIT_GRANT, this::onGrantMessage);
@@ -102,7 +111,7 @@
 
 	@Override
 	public void onResponse(RegisteredServer server, OptionalDouble limitPerS, long requestSentAtMs) {
-		if (limitPerS.isPresent() || this.active) {
+		if (this.active || limitPerS.isPresent()) {
 			guard(() -> learn(server, limitPerS, requestSentAtMs));
 		}
 	}
@@ -121,6 +130,7 @@
 	@Override
 	public void onInvalid(RegisteredServer server) {
 		this.meters.onInvalid(server, this.clock.nowMs());
+		onResponse(server, OptionalDouble.of(Double.NaN), Long.MIN_VALUE);
 	}
 
 	// Also called for servers that are gone, whose limits are no longer known.
@@ -184,7 +194,7 @@
 		if (this.servers.refresh() && this.active) {
 			this.known.retain(this.servers.ids());
 			List.copyOf(this.limited.keySet()).forEach(this::applyLimit);
-			this.reportedAtMs.keySet().removeIf((report) -> !this.servers.ids().contains(report.serverId()));
+			this.told.keySet().removeIf((recipient) -> !this.servers.ids().contains(recipient.serverId()));
 		}
 	}
 
@@ -198,8 +208,8 @@
 			this.capacities = roster.capacities();
 			this.holder.setGateways(this.capacities, nowMs);
 			this.keeper.setGateways(this.capacities, nowMs);
-			this.reportedAtMs.keySet().removeIf((report) -> !this.capacities.containsKey(report.gateway()));
-			added.forEach((gateway) -> this.limited.keySet().forEach((serverId) -> report(gateway, serverId)));
+			this.told.keySet().removeIf((recipient) -> !this.capacities.containsKey(recipient.gateway()));
+			added.forEach((gateway) -> this.limited.keySet().forEach((serverId) -> tellNewest(gateway, serverId)));
 		});
 	}
 
@@ -207,14 +217,8 @@
 		this.capacities.keySet().forEach((gateway) -> tell(gateway, news));
 	}
 
-	// News may be lost, and a gateway that has just started has heard none.
-	private void report(String gateway, String serverId) {
-		Report report = new Report(gateway, serverId);
-		long nowMs = this.clock.nowMs();
-		Long lastMs = this.reportedAtMs.get(report);
-		if (lastMs == null || nowMs - lastMs >= REPEAT_INTERVAL_MS) {
-			this.known.newest(serverId).ifPresent((news) -> tell(gateway, news));
-		}
+	private void tellNewest(String gateway, String serverId) {
+		this.known.newest(serverId).ifPresent((news) -> tell(gateway, news));
 	}
 
 	private void tell(String gateway, LimitNews news) {
@@ -222,54 +226,70 @@
 			return;
 		}
 		long nowMs = this.clock.nowMs();
-		this.reportedAtMs.put(new Report(gateway, news.serverId()), nowMs);
-		this.channel.send(gateway, MessageType.SERVER_LIMIT, LimitMessages
-			.encode(new ToldLimit(news.serverId(), news.limitPerS(), Math.max(0, nowMs - news.heardAtMs()))));
+		this.told.put(new Recipient(gateway, news.serverId()), news.limitPerS().orElse(Double.NaN));
+		this.channel.send(gateway, MessageType.SERVER_LIMIT, LimitMessages.encode(new ToldLimit(news.serverId(),
+				news.limitPerS(), Math.max(0, nowMs - news.heardAtMs()), this.run, nowMs)));
 	}
 
 	private void sendWishes(long nowMs) {
 		this.holder.dueWishes(nowMs).forEach((wish) -> {
-			report(wish.gateway(), wish.wish().serverId());
-			this.channel.send(wish.gateway(), MessageType.PERMIT_WISH, LimitMessages.encode(wish.wish()));
+			if (LimitMessages.isUsable(wish.wish().serverId())) {
+				tellKeeper(wish.gateway(), wish.wish().serverId());
+				this.channel.send(wish.gateway(), MessageType.PERMIT_WISH, LimitMessages.encode(wish.wish()));
+			}
 		});
 	}
 
+	// A keeper does not answer wishes for a limit that it has not heard of.
+	private void tellKeeper(String gateway, String serverId) {
+		Double toldBefore = this.told.get(new Recipient(gateway, serverId));
+		this.known.newest(serverId)
+			.filter((news) -> !Double.valueOf(news.limitPerS().orElse(Double.NaN)).equals(toldBefore))
+			.ifPresent((news) -> tell(gateway, news));
+	}
+
 	private void send(OutgoingGrant grant) {
 		this.channel.send(grant.gateway(), MessageType.PERMIT_GRANT, LimitMessages.encode(grant.grant()));
 	}
 
 	private void onLimitMessage(String gateway, byte[] payload) {
-		Optional<ToldLimit> told = LimitMessages.decodeLimit(payload);
-		if (told.isEmpty()) {
-			this.meters.onUnreadable();
-			return;
-		}
-		String serverId = told.get().serverId();
+		LimitMessages.decodeLimit(payload)
+			.ifPresentOrElse((message) -> receive(gateway, message), this.meters::onUnreadable);
+	}
+
+	private void receive(String gateway, ToldLimit message) {
+		long nowMs = this.clock.nowMs();
+		long ageMs = message.ageMs() + this.ages.transitMs(gateway, message.run(), message.sentAtMs(), nowMs);
 		refreshServers();
-		if (this.servers.find(serverId).isPresent()) {
-			this.known.onNews(serverId, told.get().limitPerS(), told.get().ageMs(), this.clock.nowMs());
-			applyLimit(serverId);
+		if (this.servers.find(message.serverId()).isPresent()) {
+			this.known.onNews(message.serverId(), message.limitPerS(), ageMs, nowMs);
+			applyLimit(message.serverId());
+			this.known.correction(message.serverId(), message.limitPerS(), ageMs, nowMs)
+				.ifPresent((news) -> tell(gateway, news));
 		}
 	}
 
 	private void onWishMessage(String gateway, byte[] payload) {
-		Optional<PermitWish> wish = LimitMessages.decodeWish(payload);
-		if (wish.isEmpty()) {
-			this.meters.onUnreadable();
-			return;
+		LimitMessages.decodeWish(payload).ifPresentOrElse((wish) -> receive(gateway, wish), this.meters::onUnreadable);
+	}
+
+	private void receive(String gateway, PermitWish wish) {
+		long nowMs = this.clock.nowMs();
+		this.ages.transitMs(gateway, wish.run(), wish.sequence(), nowMs);
+		if (this.known.limitPerS(wish.serverId()).isEmpty()) {
+			tellNewest(gateway, wish.serverId());
 		}
-		report(gateway, wish.get().serverId());
-		this.keeper.receive(gateway, wish.get(), this.clock.nowMs()).forEach(this::send);
+		this.keeper.receive(gateway, wish, nowMs).forEach(this::send);
 	}
 
 	private void onGrantMessage(String gateway, byte[] payload) {
-		Optional<PermitGrant> grant = LimitMessages.decodeGrant(payload);
-		if (grant.isEmpty()) {
-			this.meters.onUnreadable();
-			return;
-		}
-		this.holder.receive(gateway, grant.get(), this.clock.nowMs());
-		if (grant.get().permits() > 0) {
+		LimitMessages.decodeGrant(payload)
+			.ifPresentOrElse((grant) -> receive(gateway, grant), this.meters::onUnreadable);
+	}
+
+	private void receive(String gateway, PermitGrant grant) {
+		this.holder.receive(gateway, grant, this.clock.nowMs());
+		if (grant.permits() > 0) {
 			this.permitListener.run();
 		}
 	}
@@ -305,6 +325,12 @@
 		}
 	}
 
+	@Override
+	public boolean allowsPolls(RegisteredServer server) {
+		Limited limit = this.limited.isEmpty() ? null : this.limited.get(ServerIncarnations.id(server));
+		return limit == null || limit.limitPerS() >= MIN_POLLED_LIMIT_PER_S;
+	}
+
 	@Override
 	public void countCall(String address) {
 		this.limited.forEach((serverId, limit) -> {
@@ -356,12 +382,12 @@
 	}
 
 	/**
-	 * A report of the limit of a server to a gateway.
+	 * A gateway that was told the limit of a server.
 	 *
 	 * @param gateway name of the gateway
 	 * @param serverId identifies an incarnation of the server
 	 */
-	private record Report(String gateway, String serverId) {
+	private record Recipient(String gateway, String serverId) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/limit/ToldLimit.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/ToldLimit.java
@@ -8,8 +8,10 @@
  * @param serverId identifies an incarnation of the server
  * @param limitPerS the limit in requests per second; empty if it has ended
  * @param ageMs time since the response that named it, in ms
+ * @param run run of the gateway's process
+ * @param sentAtMs time of sending on the monotonic clock of the gateway
  */
-record ToldLimit(String serverId, OptionalDouble limitPerS, long ageMs) {
+record ToldLimit(String serverId, OptionalDouble limitPerS, long ageMs, long run, long sentAtMs) {
 
 	/**
 	 * Creates the message.
--- a/gateway/src/test/java/io/anvilusher/gateway/limit/LimitMessagesTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/limit/LimitMessagesTests.java
@@ -18,9 +18,9 @@
 
 public class LimitMessagesTests {
 
-	private static final ToldLimit LIMIT = new ToldLimit("desk@1@10.0.0.1:80", OptionalDouble.of(8.4), 250);
+	private static final ToldLimit LIMIT = new ToldLimit("desk@1@10.0.0.1:80", OptionalDouble.of(8.4), 250, 7, -20);
 
-	private static final ToldLimit END = new ToldLimit("desk@1@10.0.0.1:80", OptionalDouble.empty(), 0);
+	private static final ToldLimit END = new ToldLimit("desk@1@10.0.0.1:80", OptionalDouble.empty(), 0, 7, 30);
 
 	private static final PermitWish WISH = new PermitWish("d\u00e9sk@1@10.0.0.1:80", 7, -5, 3, 2);
 
--- a/gateway/src/test/java/io/anvilusher/gateway/request/LimitedPlacementTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/request/LimitedPlacementTests.java
@@ -177,6 +177,11 @@
 			this.wanted.add(server);
 		}
 
+		@Override
+		public boolean allowsPolls(RegisteredServer server) {
+			throw new UnsupportedOperationException();
+		}
+
 		@Override
 		public void countCall(String address) {
 			throw new UnsupportedOperationException();
