--- a/logic/src/main/java/io/anvilusher/logic/limit/MessageAges.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/MessageAges.java
@@ -10,8 +10,15 @@
  */
 public final class MessageAges {
 
+	/**
+	 * Time that the first message of a run is taken to have been under way, since it
+	 * cannot be told. If its news is not accepted for that, the answer to the
+	 * {@linkplain KnownLimits#correction correction} is.
+	 */
+	public static final long FIRST_TRANSIT_MS = 5_000;
+
 	/** Silence after which a gateway is forgotten. */
-	private static final long FORGET_MS = 120_000;
+	private static final long FORGET_MS = 600_000;
 
 	private final Map<String, Sender> senders = new HashMap<>();
 
@@ -24,7 +31,7 @@
 	 * @param sentAtMs time of sending on the monotonic clock of the sender
 	 * @param nowMs current time of the monotonic clock of this gateway
 	 * @return the time that the message was under way longer than the fastest one, in ms;
-	 * 0 for the first message of a run
+	 * {@link #FIRST_TRANSIT_MS} for the first message of a run
 	 */
 	public long transitMs(String gateway, long run, long sentAtMs, long nowMs) {
 		if (nowMs - this.cleanedMs >= FORGET_MS) {
@@ -32,9 +39,11 @@
 			this.senders.values().removeIf((sender) -> nowMs - sender.lastMs() >= FORGET_MS);
 		}
 		Sender known = this.senders.get(gateway);
-		ClockLag lag = (known != null && known.run() == run) ? known.lag() : new ClockLag(nowMs);
+		boolean first = known == null || known.run() != run;
+		ClockLag lag = first ? new ClockLag(nowMs) : known.lag();
 		this.senders.put(gateway, new Sender(run, lag, nowMs));
-		return lag.transitMs(sentAtMs, nowMs);
+		long transitMs = lag.transitMs(sentAtMs, nowMs);
+		return first ? FIRST_TRANSIT_MS : transitMs;
 	}
 
 	/**
