Keep a gateway that was paused from leaving its keeper

A gateway that was frozen had read no answers and took its keeper for lost, then avoided it for 10 s. A pause now restarts the wait for an answer, and a lost candidate is avoided for 3 s.

--- a/logic/src/main/java/io/anvilusher/logic/limit/HeldServer.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/HeldServer.java
@@ -162,6 +162,10 @@
 		this.stock.add(acceptable, validUntilMs);
 	}
 
+	void onPaused(long nowMs) {
+		this.choice.onPaused(nowMs);
+	}
+
 	Optional<OutgoingWish> dueWish(long nowMs) {
 		this.calls += this.sentWishes.expire(nowMs);
 		if (!this.limited || nowMs - this.lastSentMs < MIN_INTERVAL_MS) {
@@ -176,10 +180,13 @@
 
 	private boolean isDue(int lacking, long nowMs) {
 		long sinceLastMs = nowMs - this.lastSentMs;
-		if (this.waitingFor > 0 || !this.choice.isAnswered()) {
-			boolean late = this.choice.isAnswered() && this.nextPermitAtMs - nowMs > LATE_MS;
-			return sinceLastMs >= (late ? LATE_RENEWAL_MS : Math.min(RENEWAL_MS, RETRY_MS))
-					|| lacking > 2 * Math.max(1, this.waitingFor) || (lacking == 0 && this.waitingFor > 0);
+		if (!this.choice.isAnswered() && sinceLastMs >= RETRY_MS) {
+			return true;
+		}
+		if (this.waitingFor > 0) {
+			boolean late = this.nextPermitAtMs - nowMs > LATE_MS;
+			return lacking == 0 || lacking > 2 * this.waitingFor
+					|| sinceLastMs >= (late ? LATE_RENEWAL_MS : RENEWAL_MS);
 		}
 		return lacking > 0 || sinceLastMs >= SUPPORT_INTERVAL_MS || (this.calls > 0 && sinceLastMs >= CALLS_MS);
 	}
--- a/logic/src/main/java/io/anvilusher/logic/limit/KeeperChoice.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/KeeperChoice.java
@@ -16,7 +16,7 @@
 	private static final long ANSWER_TIMEOUT_MS = 750;
 
 	/** Time for which a lost candidate is asked after the others. */
-	private static final long LOST_MS = 10_000;
+	private static final long LOST_MS = 3_000;
 
 	/** Time for which a candidate without a majority is asked after the others. */
 	private static final long WEAK_MS = 60_000;
@@ -85,6 +85,8 @@
 	}
 
 	private void choose(long nowMs) {
+		this.lostMs.values().removeIf((atMs) -> nowMs - atMs >= LOST_MS);
+		this.weakMs.values().removeIf((atMs) -> nowMs - atMs >= WEAK_MS);
 		this.current = best(nowMs, true);
 		this.unansweredSinceMs = Long.MAX_VALUE;
 		this.minoritySinceMs = Long.MAX_VALUE;
@@ -136,6 +138,16 @@
 		}
 	}
 
+	/**
+	 * Takes in that this gateway was paused, so that it may not have read answers.
+	 * @param nowMs current time of the monotonic clock
+	 */
+	void onPaused(long nowMs) {
+		if (!isAnswered()) {
+			this.unansweredSinceMs = nowMs;
+		}
+	}
+
 	boolean isAnswered() {
 		return this.unansweredSinceMs == Long.MAX_VALUE;
 	}
--- a/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/PermitHolder.java
@@ -24,6 +24,9 @@
 	/** Interval at which servers are looked at for which no request was wanted. */
 	private static final long SCAN_INTERVAL_MS = 20;
 
+	/** Time between two scans from which this gateway counts as paused. */
+	private static final long PAUSE_MS = 250;
+
 	private final String self;
 
 	private final long run;
@@ -158,6 +161,9 @@
 	public List<OutgoingWish> dueWishes(long nowMs) {
 		boolean full = nowMs - this.lastFullScanMs >= SCAN_INTERVAL_MS;
 		if (full) {
+			if (nowMs - this.lastFullScanMs > PAUSE_MS) {
+				this.servers.values().forEach((server) -> server.onPaused(nowMs));
+			}
 			this.lastFullScanMs = nowMs;
 			this.servers.values().removeIf((server) -> server.isOver(nowMs));
 		}
--- a/logic/src/test/java/io/anvilusher/logic/limit/PermitHolderTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/limit/PermitHolderTests.java
@@ -113,6 +113,14 @@
 		assertNotEquals(next.gateway(), first.gateway());
 	}
 
+	@Test
+	public void pauseOfThisGatewayDoesNotLoseTheKeeper() {
+		OutgoingWish first = wishAt(START_MS);
+		assertEquals(wishAt(START_MS + 3_000).gateway(), first.gateway());
+		this.holder.dueWishes(START_MS + 3_020);
+		assertEquals(wishAt(START_MS + 3_260).gateway(), first.gateway());
+	}
+
 	@Test
 	public void lowerLimitReducesTheStock() {
 		this.holder.onWanted("s", START_MS);
