Tell all gateways of the newest list that a limit has ended

A gateway that read the list of gateways between two ticks told the end of a limit to those of the older list only, and nobody else after that, since it ticks only while a limit is in force. Seen in 1 of 4 runs of SharedServerLimitsTests (one gateway kept the limit for 60 s).

--- a/gateway/src/main/java/io/anvilusher/gateway/limit/SharedServerLimits.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/SharedServerLimits.java
@@ -40,11 +40,6 @@
 
 	private static final long TICK_INTERVAL_MS = 20;
 
-	/**
-	 * Shortest time between two reports of a limit to a gateway that takes part in it.
-	 */
-	private static final long REPEAT_INTERVAL_MS = 1_000;
-
 	/** Smallest limit of a server that is polled: several times the rate of the polls. */
 	private static final double MIN_POLLED_LIMIT_PER_S = 5;
 
@@ -214,6 +209,7 @@
 	}
 
 	private void tellAll(LimitNews news) {
+		refreshGateways(this.clock.nowMs());
 		this.capacities.keySet().forEach((gateway) -> tell(gateway, news));
 	}
 
