--- a/logic/src/main/java/io/anvilusher/logic/limit/KeeperChoice.java
+++ b/logic/src/main/java/io/anvilusher/logic/limit/KeeperChoice.java
@@ -18,10 +18,13 @@
 	/** Time for which a lost candidate is asked after the others. */
 	private static final long LOST_MS = 3_000;
 
-	/** Time for which a candidate without a majority is asked after the others. */
+	/** Time for which a candidate without a majority is not visited again. */
 	private static final long WEAK_MS = 60_000;
 
-	/** Time for which gateways wait for others to support the first candidate. */
+	/**
+	 * Time for which gateways wait for others to support the first candidate, before they
+	 * visit another one.
+	 */
 	private static final long FIRST_PATIENCE_MS = 6_000;
 
 	private static final long PATIENCE_MS = 2_000;
@@ -58,7 +61,7 @@
 	void setRanking(KeeperRanking newRanking, long nowMs) {
 		this.ranking = newRanking;
 		if (!newRanking.candidates().contains(this.current)) {
-			choose(nowMs);
+			choose(first(nowMs));
 		}
 	}
 
@@ -69,35 +72,50 @@
 	 */
 	Optional<String> target(long nowMs) {
 		if (nowMs - this.unansweredSinceMs >= ANSWER_TIMEOUT_MS && this.unansweredSinceMs != Long.MAX_VALUE) {
+			this.lostMs.values().removeIf((atMs) -> nowMs - atMs >= LOST_MS);
 			this.lostMs.put(this.current, nowMs);
-			choose(nowMs);
+			choose(first(nowMs));
 		}
 		boolean free = nowMs - this.lastSentMs >= PermitHolder.SUPPORT_MS
 				|| this.supported.equals(Optional.of(this.current));
 		return free ? Optional.of(this.current) : Optional.empty();
 	}
 
-	private boolean isWeak(long nowMs) {
-		if (nowMs - this.minoritySinceMs < PATIENCE_MS) {
-			return false;
+	private void choose(String gateway) {
+		this.current = gateway;
+		this.unansweredSinceMs = Long.MAX_VALUE;
+		this.minoritySinceMs = Long.MAX_VALUE;
+	}
+
+	// All gateways return to the first candidate after each visit to another one, so that
+	// groups of equal size meet there.
+	private void leaveMinority(long nowMs) {
+		long minorityMs = nowMs - this.minoritySinceMs;
+		String first = first(nowMs);
+		if (!this.current.equals(first) && minorityMs >= PATIENCE_MS) {
+			this.weakMs.values().removeIf((atMs) -> nowMs - atMs >= WEAK_MS);
+			this.weakMs.put(this.current, nowMs);
+			choose(first);
+		}
+		else if (minorityMs >= FIRST_PATIENCE_MS) {
+			choose(toVisit(nowMs).orElse(first));
 		}
-		return nowMs - this.minoritySinceMs >= FIRST_PATIENCE_MS || !this.current.equals(best(nowMs, false));
 	}
 
-	private void choose(long nowMs) {
-		this.lostMs.values().removeIf((atMs) -> nowMs - atMs >= LOST_MS);
-		this.weakMs.values().removeIf((atMs) -> nowMs - atMs >= WEAK_MS);
-		this.current = best(nowMs, true);
-		this.unansweredSinceMs = Long.MAX_VALUE;
-		this.minoritySinceMs = Long.MAX_VALUE;
+	private String first(long nowMs) {
+		return this.ranking.candidates()
+			.stream()
+			.min(Comparator.comparingLong((name) -> recent(this.lostMs, name, LOST_MS, nowMs)))
+			.orElseThrow();
 	}
 
-	private String best(long nowMs, boolean avoidWeak) {
-		Comparator<String> longestLost = Comparator
-			.comparing((String name) -> recent(this.lostMs, name, LOST_MS, nowMs));
-		Comparator<String> strong = Comparator
-			.comparing((String name) -> avoidWeak && recent(this.weakMs, name, WEAK_MS, nowMs) > NEVER_MS);
-		return this.ranking.candidates().stream().min(longestLost.thenComparing(strong)).orElseThrow();
+	private Optional<String> toVisit(long nowMs) {
+		return this.ranking.candidates()
+			.stream()
+			.filter((name) -> !name.equals(this.current))
+			.filter((name) -> recent(this.lostMs, name, LOST_MS, nowMs) == NEVER_MS)
+			.filter((name) -> recent(this.weakMs, name, WEAK_MS, nowMs) == NEVER_MS)
+			.findFirst();
 	}
 
 	private static long recent(Map<String, Long> times, String name, long windowMs, long nowMs) {
@@ -132,9 +150,8 @@
 		else if (this.minoritySinceMs == Long.MAX_VALUE) {
 			this.minoritySinceMs = nowMs;
 		}
-		else if (isWeak(nowMs)) {
-			this.weakMs.put(gateway, nowMs);
-			choose(nowMs);
+		else {
+			leaveMinority(nowMs);
 		}
 	}
 
