Give requests without a permit a Retry-After of at least 50 ms

The estimate may be 0 when a permit is due but has not come within the time that a request is queued. The constants of ServerLimits stand first.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
@@ -11,7 +11,8 @@
 import io.anvilusher.model.fleet.RegisteredServer;
 
 /**
- * Calls only engines that currently take requests, and holds back all other calls.
+ * Calls only engines that currently take requests, and holds back all other calls, as
+ * well as polls that would take a large part of an engine's limit.
  */
 public final class AvailableEngineControl implements EngineControlClient {
 
--- a/gateway/src/main/java/io/anvilusher/gateway/limit/ServerLimits.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/limit/ServerLimits.java
@@ -13,6 +13,9 @@
  */
 public interface ServerLimits {
 
+	/** Interval at which a request that waits is counted again as wanted, in ms. */
+	long WANTED_INTERVAL_MS = 100;
+
 	/**
 	 * Records what a response says about the limit of its server.
 	 * @param server the server
@@ -82,7 +85,4 @@
 	 */
 	void onPermits(Runnable listener);
 
-	/** Interval at which a request that waits is counted again as wanted, in ms. */
-	long WANTED_INTERVAL_MS = 100;
-
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -66,6 +66,9 @@
 	 */
 	private static final double MAX_PROBE_TIME_SHARE = 0.15;
 
+	/** Shortest Retry-After of a request that found no permit: a few round trips. */
+	private static final long MIN_PERMIT_RETRY_AFTER_MS = 50;
+
 	/** Timeout for the response to a call that frees a KV cache. */
 	private static final long FREE_KV_CACHE_TIMEOUT_MS = 1_000;
 
@@ -377,7 +380,7 @@
 			.collect(Collectors.toUnmodifiableSet());
 		OptionalLong nextPermitInMs = nextPermitInMs(service, unhealthy);
 		if (nextPermitInMs.isPresent()) {
-			return Math.max(1, nextPermitInMs.getAsLong());
+			return Math.max(MIN_PERMIT_RETRY_AFTER_MS, nextPermitInMs.getAsLong());
 		}
 		double pendingUnits = this.serverRegistry.servers(service)
 			.stream()
