--- a/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/AvailableEngineControl.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
 
@@ -10,7 +11,8 @@
 import io.anvilusher.model.fleet.RegisteredServer;
 
 /**
- * Calls only engines that currently take requests, and holds back all other calls.
+ * Calls only engines that currently take requests, and holds back all other calls, as
+ * well as polls that would take a large part of an engine's limit.
  */
 public final class AvailableEngineControl implements EngineControlClient {
 
@@ -18,6 +20,10 @@
 
 	private final Predicate<RegisteredServer> accepting;
 
+	private final Predicate<RegisteredServer> polled;
+
+	private final Consumer<RegisteredServer> callListener;
+
 	private final Executor trafficThread;
 
 	/**
@@ -25,24 +31,29 @@
 	 * @param delegate makes the calls
 	 * @param accepting returns whether an engine takes requests; called on the traffic
 	 * thread
+	 * @param polled returns whether an engine may be asked for reports; called on the
+	 * traffic thread
+	 * @param callListener is told each engine that is called, on the traffic thread
 	 * @param trafficThread runs tasks on the traffic thread
 	 */
 	public AvailableEngineControl(EngineControlClient delegate, Predicate<RegisteredServer> accepting,
-			Executor trafficThread) {
+			Predicate<RegisteredServer> polled, Consumer<RegisteredServer> callListener, Executor trafficThread) {
 		this.delegate = delegate;
 		this.accepting = accepting;
+		this.polled = polled;
+		this.callListener = callListener;
 		this.trafficThread = trafficThread;
 	}
 
 	@Override
 	public CompletableFuture<Optional<EngineReport>> report(RegisteredServer engine) {
-		return callIfAccepting(engine, () -> this.delegate.report(engine), Optional.empty());
+		return callIf(this.polled, engine, () -> this.delegate.report(engine), Optional.empty());
 	}
 
 	@Override
 	public CompletableFuture<Outcome> changeRole(RegisteredServer engine, EngineRole role, OrderIssuer issuer,
 			long ordersBefore) {
-		return callIfAccepting(engine, () -> this.delegate.changeRole(engine, role, issuer, ordersBefore),
+		return callIf((target) -> true, engine, () -> this.delegate.changeRole(engine, role, issuer, ordersBefore),
 				Outcome.HELD_BACK);
 	}
 
@@ -52,10 +63,18 @@
 		return this.delegate.acceptsConnections(server);
 	}
 
-	private <T> CompletableFuture<T> callIfAccepting(RegisteredServer engine, Supplier<CompletableFuture<T>> call,
-			T heldBack) {
-		return CompletableFuture.supplyAsync(() -> this.accepting.test(engine), this.trafficThread)
+	private <T> CompletableFuture<T> callIf(Predicate<RegisteredServer> allowed, RegisteredServer engine,
+			Supplier<CompletableFuture<T>> call, T heldBack) {
+		return CompletableFuture.supplyAsync(() -> checkCall(engine, allowed), this.trafficThread)
 			.thenCompose((accepts) -> accepts ? call.get() : CompletableFuture.completedFuture(heldBack));
 	}
 
+	private boolean checkCall(RegisteredServer engine, Predicate<RegisteredServer> allowed) {
+		boolean accepts = this.accepting.test(engine) && allowed.test(engine);
+		if (accepts) {
+			this.callListener.accept(engine);
+		}
+		return accepts;
+	}
+
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerAnnouncements.java
@@ -5,6 +5,7 @@
 
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.fleet.RegisteredServer;
@@ -27,16 +28,21 @@
 
 	private final MonotonicClock clock;
 
+	private final ServerLimits limits;
+
 	/**
 	 * Creates an instance.
 	 * @param serverRegistry the servers
 	 * @param meters counts the announcements
 	 * @param clock the monotonic clock
+	 * @param limits limits that servers name
 	 */
-	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock) {
+	public ServerAnnouncements(ServerRegistry serverRegistry, Meters meters, MonotonicClock clock,
+			ServerLimits limits) {
 		this.serverRegistry = serverRegistry;
 		this.meters = meters;
 		this.clock = clock;
+		this.limits = limits;
 	}
 
 	/**
@@ -45,11 +51,17 @@
 	 * @param server the server that the request was sent to
 	 * @param head head of the response that belongs to the request
 	 * @param requestId identifier of the request, for the log
+	 * @param sentAtMs time at which the request was sent, by the monotonic clock
 	 */
-	public void onHead(TrackedServer server, ResponseHead head, String requestId) {
+	public void onHead(TrackedServer server, ResponseHead head, String requestId, long sentAtMs) {
 		if (head.status() == MISDIRECTED) {
 			return;
 		}
+		onLimit(server, head, sentAtMs);
+		onAvailability(server, head, requestId);
+	}
+
+	private void onAvailability(TrackedServer server, ResponseHead head, String requestId) {
 		if (head.leaving() && server.availability().onLeaving()) {
 			this.meters.counter("anvilusher.servers.leaving", "service", server.server().service()).increment();
 			LOGGER.atInfo()
@@ -63,6 +75,15 @@
 		}
 	}
 
+	private void onLimit(TrackedServer server, ResponseHead head, long sentAtMs) {
+		if (head.limitInvalid()) {
+			this.limits.onInvalid(server.server());
+		}
+		else {
+			this.limits.onResponse(server.server(), head.limitPerS(), sentAtMs);
+		}
+	}
+
 	private void onPauseRequested(TrackedServer server, long pauseMs, String requestId) {
 		long nowMs = this.clock.nowMs();
 		if (!server.availability().onPauseRequested(pauseMs, nowMs)) {
@@ -80,16 +101,23 @@
 	/**
 	 * Records the announcements in a response to a call of the control interface.
 	 * Responses that carry the identifier of a caller's request belong to another call
-	 * and are ignored.
+	 * and are ignored. One that names no limit says nothing about the limit, which is
+	 * named to callers.
 	 * @param engine registration of the engine that was called; ignored if it has been
 	 * restarted since
 	 * @param head head of the response
 	 * @param call name of the call, for the log
 	 */
 	public void onControlHead(RegisteredServer engine, ResponseHead head, String call) {
-		if (head.attemptId().isEmpty()) {
-			this.serverRegistry.tracked(engine).ifPresent((server) -> onHead(server, head, call));
+		if (!head.attemptId().isEmpty() || head.status() == MISDIRECTED) {
+			return;
 		}
+		this.serverRegistry.tracked(engine).ifPresent((server) -> {
+			if (head.limitPerS().isPresent() || head.limitInvalid()) {
+				onLimit(server, head, this.clock.nowMs());
+			}
+			onAvailability(server, head, call);
+		});
 	}
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.micrometer.core.instrument.Timer;
 import org.slf4j.Logger;
@@ -24,6 +26,7 @@
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
 import io.anvilusher.gateway.fleet.ServerRegistry;
+import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.placement.PlacementTicket;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
@@ -63,6 +66,9 @@
 	 */
 	private static final double MAX_PROBE_TIME_SHARE = 0.15;
 
+	/** Shortest Retry-After of a request that found no permit: a few round trips. */
+	private static final long MIN_PERMIT_RETRY_AFTER_MS = 50;
+
 	/** Timeout for the response to a call that frees a KV cache. */
 	private static final long FREE_KV_CACHE_TIMEOUT_MS = 1_000;
 
@@ -108,6 +114,8 @@
 
 	private final Optional<CoordinatedPlacement> coordination;
 
+	private final ServerLimits limits;
+
 	/**
 	 * Creates a dispatcher.
 	 * @param dependencies the objects that it uses
@@ -129,6 +137,8 @@
 		this.retryLimits = retryLimits;
 		this.plainPlacer = new PlainPlacer(dataCentre);
 		this.coordination = dependencies.coordination();
+		this.limits = dependencies.limits();
+		this.limits.onPermits(this::placeAllQueued);
 	}
 
 	/**
@@ -162,7 +172,12 @@
 	}
 
 	Placement place(GatewayRequest request, Set<String> excludedServers) {
-		List<TrackedServer> servers = this.serverRegistry.servers(request.input().service());
+		return request.limitedPlacement()
+			.place(this.serverRegistry.servers(request.input().service()),
+					(servers) -> place(request, servers, excludedServers), nowMs());
+	}
+
+	private Placement place(GatewayRequest request, List<TrackedServer> servers, Set<String> excludedServers) {
 		return request.input()
 			.head()
 			.prompt()
@@ -187,8 +202,11 @@
 	}
 
 	Optional<TrackedServer> placeDecode(GatewayRequest request, TrackedServer source, Set<String> excludedServers) {
-		return this.enginePlacer.placeDecode(source, this.serverRegistry.servers(request.input().service()),
-				excludedServers, request.input().route().targetMs(), nowMs());
+		return request.limitedPlacement()
+			.placeDecode(
+					this.serverRegistry.servers(request.input().service()), (engines) -> this.enginePlacer
+						.placeDecode(source, engines, excludedServers, request.input().route().targetMs(), nowMs()),
+					nowMs());
 	}
 
 	List<TrackedServer> enginesToProbe(GatewayRequest request, Set<String> excludedServers) {
@@ -233,6 +251,10 @@
 	}
 
 	private CompletableFuture<Void> requestReport(TrackedServer engine) {
+		if (this.limits.isLimited(engine)) {
+			this.meters.counter("anvilusher.engine.probes", "outcome", "held_back").increment();
+			return CompletableFuture.completedFuture(null);
+		}
 		return this.engineControl.report(engine.server()).thenAccept((report) -> {
 			String outcome = report.isPresent() ? "report" : "none";
 			this.meters.counter("anvilusher.engine.probes", "outcome", outcome).increment();
@@ -255,8 +277,18 @@
 			.head()
 			.prompt()
 			.filter((prompt) -> request.input().route().carriesPrompt())
-			.flatMap((prompt) -> this.coordination
-				.flatMap((coordinated) -> coordinated.ask(request.input(), prompt, excludedServers, listener)));
+			.flatMap((prompt) -> this.coordination.flatMap((coordinated) -> coordinated.ask(request.input(), prompt,
+					withoutPermit(request, excludedServers), listener)));
+	}
+
+	private Set<String> withoutPermit(GatewayRequest request, Set<String> excludedServers) {
+		return Stream
+			.concat(excludedServers.stream(),
+					request.limitedPlacement()
+						.lacking(this.serverRegistry.servers(request.input().service()), nowMs())
+						.stream()
+						.map((server) -> server.server().id()))
+			.collect(Collectors.toUnmodifiableSet());
 	}
 
 	/**
@@ -322,6 +354,10 @@
 		serviceState(service).queue().placeQueued(GatewayRequest::tryPlace);
 	}
 
+	private void placeAllQueued() {
+		this.serviceStates.values().forEach((state) -> state.queue().placeQueued(GatewayRequest::tryPlace));
+	}
+
 	RefusalReason noServerReason(String service) {
 		return this.serverRegistry.isAnyPaused(service) ? RefusalReason.SERVICE_SATURATED : RefusalReason.NO_SERVER;
 	}
@@ -337,6 +373,7 @@
 			schedule(pauseLeftMs, () -> freeKvCache(fetch));
 			return;
 		}
+		this.limits.countCall(fetch.source());
 		RunningCall call = this.client.start(this.format.freeHandle(fetch.source(), fetch.handle()),
 				FreeKvCacheListener.INSTANCE);
 		schedule(FREE_KV_CACHE_TIMEOUT_MS, call::cancel);
@@ -347,6 +384,16 @@
 		if (firstAcceptsInMs.isPresent()) {
 			return firstAcceptsInMs.getAsLong();
 		}
+		long nowMs = nowMs();
+		Set<String> unhealthy = this.serverRegistry.servers(service)
+			.stream()
+			.filter((server) -> server.health().isUnhealthy(nowMs))
+			.map((server) -> server.server().id())
+			.collect(Collectors.toUnmodifiableSet());
+		OptionalLong nextPermitInMs = nextPermitInMs(service, unhealthy);
+		if (nextPermitInMs.isPresent()) {
+			return Math.max(MIN_PERMIT_RETRY_AFTER_MS, nextPermitInMs.getAsLong());
+		}
 		double pendingUnits = this.serverRegistry.servers(service)
 			.stream()
 			.mapToDouble((server) -> server.window().pendingTokens() + 1)
@@ -354,6 +401,21 @@
 		return serviceState(service).retryAfter().retryAfterMs(pendingUnits, this.random.nextDouble(), nowMs());
 	}
 
+	/**
+	 * Estimates when a request can be sent to one of the servers of a service that run
+	 * complete requests, if all of them have limits.
+	 * @param service name of the service
+	 * @param excludedServers ids of servers that are not to be used
+	 * @return the time in ms; empty if a limit is not what keeps the request from a
+	 * server
+	 */
+	OptionalLong nextPermitInMs(String service, Set<String> excludedServers) {
+		return this.limits.nextPermitInMs(this.serverRegistry.servers(service)
+			.stream()
+			.filter((server) -> !server.isPrefill() && !excludedServers.contains(server.server().id()))
+			.toList());
+	}
+
 	ServiceState serviceState(String service) {
 		return this.serviceStates.computeIfAbsent(service,
 				(name) -> new ServiceState(new PlacementQueue<>(), new RetryAfterEstimator(),
@@ -432,6 +494,10 @@
 		return this.announcements;
 	}
 
+	ServerLimits limits() {
+		return this.limits;
+	}
+
 	RunCounter runs() {
 		return this.runs;
 	}
@@ -452,11 +518,12 @@
 	 * @param random spreads the Retry-After delays
 	 * @param coordination asks coordinators where to send prompts; empty if this process
 	 * exchanges no messages with other gateways
+	 * @param limits limits that servers name
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
 			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random,
-			Optional<CoordinatedPlacement> coordination) {
+			Optional<CoordinatedPlacement> coordination, ServerLimits limits) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/SaturationLimit.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/SaturationLimit.java
@@ -17,6 +17,9 @@
 	/** A coordinator refused the request. */
 	COORDINATOR,
 
+	/** All servers have named limits, and none has room for the request in time. */
+	SERVER_LIMIT,
+
 	/** The retry budget did not allow another prefill. */
 	RETRY_BUDGET,
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -234,7 +234,7 @@
 		boolean matchesRequest = response.attemptId().equals(this.request.input().head().attemptId());
 		if (matchesRequest) {
 			this.dispatcher.announcements()
-				.onHead(this.trackedServer, response, this.request.input().head().attemptId());
+				.onHead(this.trackedServer, response, this.request.input().head().attemptId(), this.sentAtMs);
 		}
 		if (!matchesRequest || response.encoded()) {
 			fail(AttemptFailure.FRAMES_BROKEN, true);
