--- a/logic/src/test/java/io/anvilusher/logic/placement/SizeReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/SizeReplay.java
@@ -18,7 +18,7 @@
  * {@link PlacementQueue}, place on the same engines. A few prompts have several times the
  * mean size, and which request has one does not depend on anything else.
  */
-final class SizeReplay {
+class SizeReplay {
 
 	static final long TARGET_MS = 150;
 
@@ -68,7 +68,7 @@
 	}
 
 	// Log-normal distribution with the given mean.
-	private int tokens(double mean, double spread, int max) {
+	final int tokens(double mean, double spread, int max) {
 		double drawn = mean * Math.exp(spread * this.random.nextGaussian() - spread * spread / 2);
 		return (int) Math.max(1, Math.min(max, drawn));
 	}
@@ -98,7 +98,12 @@
 		return List.copyOf(this.outcomes);
 	}
 
-	private PromptShape prompt(double atMs) {
+	/**
+	 * Draws the prompt of a request.
+	 * @param atMs arrival time, different for each request
+	 * @return the prompt
+	 */
+	PromptShape prompt(double atMs) {
 		int document = (int) (DOCUMENTS * Math.pow(this.random.nextDouble(), 1.3));
 		PromptPart template = this.templates.get(document % TEMPLATES);
 		PromptPart text = this.documents.get(document);
