Compare the sizes of prompts within a kind of request

The comparison is now made for each service and route. The 6 cases of LargePromptsOfTwoKindsTests, of which 4 failed before, pass; LargePromptsRefusedTests passes as before.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -182,7 +182,7 @@
 			.head()
 			.prompt()
 			.filter((prompt) -> request.input().route().carriesPrompt())
-			.map((prompt) -> this.enginePlacer.place(prompt, servers, excludedServers,
+			.map((prompt) -> this.enginePlacer.place(request.input().route().name(), prompt, servers, excludedServers,
 					request.input().route().targetMs(), nowMs()))
 			.orElseGet(() -> this.plainPlacer.place(servers, excludedServers, nowMs()));
 	}
@@ -347,7 +347,8 @@
 			.head()
 			.prompt()
 			.filter((prompt) -> request.input().route().carriesPrompt())
-			.ifPresent((prompt) -> this.enginePlacer.onRefused(request.input().service(), prompt));
+			.ifPresent((prompt) -> this.enginePlacer.onRefused(request.input().service(),
+					request.input().route().name(), prompt));
 	}
 
 	void onCapacityFreed(String service) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -62,7 +63,17 @@
 
 	private final Map<String, ReservedEngines> reservedByService = new HashMap<>();
 
-	private final Map<String, PromptSizes> sizesByService = new HashMap<>();
+	private final Map<Kind, PromptSizes> sizesByKind = new LinkedHashMap<>(16, 0.75f, true) {
+
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<Kind, PromptSizes> eldest) {
+			return size() > MAX_KINDS;
+		}
+
+	};
+
+	/** Kinds of requests whose sizes are remembered; the least recently used are left. */
+	private static final int MAX_KINDS = 1_024;
 
 	/**
 	 * An engine with at least this many steady requests serves short prompts. Long
@@ -79,7 +90,9 @@
 
 	/**
 	 * Selects the engine or, if the prompt is prefilled on a prefill engine, the pair of
-	 * engines for a request.
+	 * engines for a request. Counts a long prompt that is placed, so that the sizes
+	 * within a kind of request can be compared.
+	 * @param route name of the route, which tells the kind of request
 	 * @param prompt the prompt
 	 * @param engines engines of the service that accept requests
 	 * @param avoided ids of engines that earlier attempts of this request were sent to
@@ -88,8 +101,8 @@
 	 * @return the placement; {@link Placement.Full} if no engine has capacity for a long
 	 * prompt, {@link Placement.NoServer} if no engine with the decode role is left to try
 	 */
-	public Placement place(PromptShape prompt, List<TrackedServer> engines, Set<String> avoided, long targetMs,
-			long nowMs) {
+	public Placement place(String route, PromptShape prompt, List<TrackedServer> engines, Set<String> avoided,
+			long targetMs, long nowMs) {
 		List<TrackedServer> usable = usable(engines, avoided, nowMs);
 		List<TrackedServer> decodeEngines = withDecodeRole(usable);
 		if (decodeEngines.isEmpty()) {
@@ -104,7 +117,8 @@
 			.filter((engine) -> engine.isPrefill()
 					|| (!reserved.contains(engine) && !servesShortPrompts(engine, nowMs)))
 			.toList();
-		return placeLongPrompt(prompt, longPromptEngines.isEmpty() ? usable : longPromptEngines, decodeEngines,
+		PromptSizes sizes = sizes(new Kind(decodeEngines.get(0).server().service(), route));
+		return placeLongPrompt(prompt, sizes, longPromptEngines.isEmpty() ? usable : longPromptEngines, decodeEngines,
 				targetMs, nowMs)
 			.orElseGet(Placement.Full::new);
 	}
@@ -112,16 +126,17 @@
 	/**
 	 * Records that a request was refused because no engine had room for it.
 	 * @param service name of the service
+	 * @param route name of the route
 	 * @param prompt the prompt
 	 */
-	public void onRefused(String service, PromptShape prompt) {
+	public void onRefused(String service, String route, PromptShape prompt) {
 		if (prompt.sharedTokens() >= MIN_AFFINITY_TOKENS) {
-			sizes(service).onRefused(prompt.promptTokens());
+			sizes(new Kind(service, route)).onRefused(prompt.promptTokens());
 		}
 	}
 
-	private PromptSizes sizes(String service) {
-		return this.sizesByService.computeIfAbsent(service, (name) -> new PromptSizes());
+	private PromptSizes sizes(Kind kind) {
+		return this.sizesByKind.computeIfAbsent(kind, (added) -> new PromptSizes());
 	}
 
 	/**
@@ -192,13 +207,12 @@
 		return engine.steadyRequests(nowMs) >= MIN_SHORT_PROMPT_REQUESTS;
 	}
 
-	private Optional<Placement> placeLongPrompt(PromptShape prompt, List<TrackedServer> candidates,
+	private Optional<Placement> placeLongPrompt(PromptShape prompt, PromptSizes sizes, List<TrackedServer> candidates,
 			List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
 		List<PromptPart> shared = prompt.sharedParts();
 		String key = shared.get(shared.size() - 1).id();
 		List<TrackedServer> homes = Rendezvous.sortByRank(candidates,
 				(engine) -> Rendezvous.rank(engine.server().id(), key, engine.isPrefill() ? PREFILL_WEIGHT : 1));
-		PromptSizes sizes = sizes(decodeEngines.get(0).server().service());
 		Optional<Home> home = IntStream.range(0, Math.min(MAX_HOMES, homes.size()))
 			.mapToObj((rank) -> new Home(homes.get(rank), tokensToPrefill(prompt, homes.get(rank), rank)))
 			.filter((candidate) -> candidate.engine()
@@ -269,4 +283,8 @@
 
 	}
 
+	private record Kind(String service, String route) {
+
+	}
+
 }
--- a/logic/src/main/java/io/anvilusher/logic/placement/PromptSizes.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/PromptSizes.java
@@ -1,7 +1,8 @@
 package io.anvilusher.logic.placement;
 
 /**
- * Keeps large prompts of a service from being left out while smaller ones are served.
+ * Keeps large prompts of a kind of request from being left out while smaller ones are
+ * served.
  * <p>
  * A {@link PromptWindow} has room for a small prompt more often than for a large one. As
  * long as large prompts are served nearly as often as all, that is the best use of the
--- a/logic/src/test/java/io/anvilusher/logic/placement/GenerationReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/GenerationReplay.java
@@ -69,7 +69,7 @@
 		PromptShape prompt = new PromptShape(PROMPT_TOKENS, TOKENS_PER_EVENT * EVENTS,
 				List.of(new PromptPart("q" + request, PROMPT_TOKENS)));
 		List<TrackedServer> tracked = this.engines.stream().map((engine) -> engine.tracked).toList();
-		Placement placement = this.placer.place(prompt, tracked, Set.of(), FIRST_EVENT_TARGET_MS, nowMs);
+		Placement placement = this.placer.place("r", prompt, tracked, Set.of(), FIRST_EVENT_TARGET_MS, nowMs);
 		TrackedServer selected = ((Placement.SingleServer) placement).server();
 		this.engines.stream().filter((engine) -> engine.tracked == selected).forEach((engine) -> engine.add(nowMs));
 	}
--- a/logic/src/test/java/io/anvilusher/logic/placement/LoadReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/LoadReplay.java
@@ -132,7 +132,7 @@
 
 	static Policy enginePlacer() {
 		EnginePlacer placer = new EnginePlacer();
-		return (prompt, servers, nowMs) -> placer.place(prompt, servers, Set.of(), TARGET_MS, nowMs);
+		return (prompt, servers, nowMs) -> placer.place("r", prompt, servers, Set.of(), TARGET_MS, nowMs);
 	}
 
 	static Policy fewestPendingTokens() {
--- a/logic/src/test/java/io/anvilusher/logic/placement/MixedLoadReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/MixedLoadReplay.java
@@ -86,7 +86,7 @@
 
 	private void placeStream(Gateway gateway, double nowMs) {
 		PromptShape prompt = new PromptShape(220, 134, List.of(new PromptPart("s" + nowMs, 220)));
-		Placement placement = gateway.placer().place(prompt, gateway.engines(), Set.of(), TARGET_MS, (long) nowMs);
+		Placement placement = gateway.placer().place("r", prompt, gateway.engines(), Set.of(), TARGET_MS, (long) nowMs);
 		TrackedServer engine = ((Placement.SingleServer) placement).server();
 		this.streams.add(new double[] { nowMs, nowMs + EVENTS * IDLE_PAUSE_MS });
 		this.streamEngines.add(engine.server().id());
@@ -97,7 +97,7 @@
 		PromptShape prompt = new PromptShape(9_200, 2, List.of(new PromptPart("a" + document % 4, 2_500),
 				new PromptPart("d" + document, 3_800), new PromptPart("q" + nowMs, 2_900)));
 		if (!(gateway.placer()
-			.place(prompt, gateway.engines(), Set.of(), TARGET_MS,
+			.place("r", prompt, gateway.engines(), Set.of(), TARGET_MS,
 					(long) nowMs) instanceof Placement.SingleServer single)) {
 			return;
 		}
--- a/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/OverloadReplayTests.java
@@ -86,7 +86,7 @@
 		return IntStream.range(0, 200)
 			.mapToObj((index) -> new PromptShape(9_000, 2,
 					List.of(new PromptPart("d" + index, 6_000), new PromptPart("q" + index, 3_000))))
-			.map((prompt) -> placer.place(prompt, engines, Set.of(), 150, nowMs))
+			.map((prompt) -> placer.place("r", prompt, engines, Set.of(), 150, nowMs))
 			.map((placement) -> ((Placement.SingleServer) placement).server())
 			.distinct()
 			.count();
--- a/logic/src/test/java/io/anvilusher/logic/placement/SizeReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/SizeReplay.java
@@ -112,6 +112,15 @@
 				List.of(template, text, question));
 	}
 
+	/**
+	 * Returns the kind of request that a prompt belongs to.
+	 * @param prompt the prompt
+	 * @return name of its route
+	 */
+	String kind(PromptShape prompt) {
+		return "r";
+	}
+
 	private void arrive(Gateway gateway, Request request) {
 		if (!place(gateway, request, request.atMs())
 				&& !gateway.queue().offer(request, TARGET_MS, (long) request.atMs())) {
@@ -129,13 +138,13 @@
 	}
 
 	private void reject(Gateway gateway, Request request) {
-		gateway.placer().onRefused("llm", request.prompt());
+		gateway.placer().onRefused("llm", kind(request.prompt()), request.prompt());
 		this.outcomes.add(new Outcome(request.prompt().promptTokens(), Double.MAX_VALUE));
 	}
 
 	private boolean place(Gateway gateway, Request request, double nowMs) {
 		Placement placement = gateway.placer()
-			.place(request.prompt(), gateway.engines(), Set.of(), TARGET_MS, (long) nowMs);
+			.place(kind(request.prompt()), request.prompt(), gateway.engines(), Set.of(), TARGET_MS, (long) nowMs);
 		if (placement instanceof Placement.SingleServer single) {
 			send(gateway, request, single.server(), single.uncachedTokens(), nowMs);
 		}
--- a/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/StalledEngineTests.java
@@ -53,19 +53,20 @@
 	public void shortPromptAvoidsAnEngineThatDoesNotRespond() {
 		List<TrackedServer> engines = decodeEngines(4);
 		engines.forEach((engine) -> engine.onLoadReport(0, 0, 0));
-		TrackedServer first = send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 0), 0);
-		assertEquals(send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 20), 20), first);
-		assertNotEquals(send(this.placer.place(SHORT, engines, Set.of(), TARGET_MS, 150), 150), first);
+		TrackedServer first = send(this.placer.place("r", SHORT, engines, Set.of(), TARGET_MS, 0), 0);
+		assertEquals(send(this.placer.place("r", SHORT, engines, Set.of(), TARGET_MS, 20), 20), first);
+		assertNotEquals(send(this.placer.place("r", SHORT, engines, Set.of(), TARGET_MS, 150), 150), first);
 	}
 
 	@Test
 	public void longPromptAvoidsAHomeThatDoesNotRespond() {
 		List<TrackedServer> engines = decodeEngines(4);
-		TrackedServer home = send(this.placer.place(LONG, engines, Set.of(), TARGET_MS, 0), 0);
+		TrackedServer home = send(this.placer.place("r", LONG, engines, Set.of(), TARGET_MS, 0), 0);
 		home.onPromptPrefilled(LONG.sharedParts());
-		assertEquals(((Placement.SingleServer) this.placer.place(LONG, engines, Set.of(), TARGET_MS, 20)).server(),
+		assertEquals(((Placement.SingleServer) this.placer.place("r", LONG, engines, Set.of(), TARGET_MS, 20)).server(),
 				home);
-		assertNotEquals(((Placement.SingleServer) this.placer.place(LONG, engines, Set.of(), TARGET_MS, 150)).server(),
+		assertNotEquals(
+				((Placement.SingleServer) this.placer.place("r", LONG, engines, Set.of(), TARGET_MS, 150)).server(),
 				home);
 	}
 
@@ -101,7 +102,7 @@
 		Set<TrackedServer> used = new HashSet<>();
 		for (int index = 0; index < 100; index++) {
 			PromptShape prompt = new PromptShape(200, 50, List.of(new PromptPart("q" + index, 200)));
-			used.add(((Placement.SingleServer) newPlacer.place(prompt, engines, Set.of(), TARGET_MS, 0)).server());
+			used.add(((Placement.SingleServer) newPlacer.place("r", prompt, engines, Set.of(), TARGET_MS, 0)).server());
 		}
 		assertEquals(used.size(), 4);
 	}
--- a/logic/src/test/java/io/anvilusher/logic/placement/SteadyRequestsTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/SteadyRequestsTests.java
@@ -42,7 +42,8 @@
 	}
 
 	private TrackedServer home(long nowMs) {
-		return ((Placement.SingleServer) this.placer.place(LONG, this.engines, Set.of(), TARGET_MS, nowMs)).server();
+		return ((Placement.SingleServer) this.placer.place("r", LONG, this.engines, Set.of(), TARGET_MS, nowMs))
+			.server();
 	}
 
 	@Test
--- a/logic/src/test/java/io/anvilusher/logic/placement/TwoKindsReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/TwoKindsReplay.java
@@ -26,6 +26,11 @@
 		this.kinds = new Random(seed);
 	}
 
+	@Override
+	String kind(PromptShape prompt) {
+		return (prompt.promptTokens() <= MAX_SHORT_TOKENS) ? "short" : "document";
+	}
+
 	@Override
 	PromptShape prompt(double atMs) {
 		if (this.kinds.nextDouble() >= DOCUMENTS_SHARE) {
--- a/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/coordinated/CoordinatedReplay.java
@@ -183,7 +183,7 @@
 	/** As in a gateway of its own, a prompt waits until an engine has room for it. */
 	private void placeAlone(Request request, double nowMs) {
 		List<TrackedServer> engines = this.tracked.get(Integer.parseInt(request.key().gateway().substring(1)));
-		Placement placement = this.placer.place(request.prompt(), engines, Set.of(), TARGET_MS, (long) nowMs);
+		Placement placement = this.placer.place("r", request.prompt(), engines, Set.of(), TARGET_MS, (long) nowMs);
 		if (placement instanceof Placement.SingleServer single) {
 			single.server().window().onSent(single.uncachedTokens(), (long) nowMs);
 			double firstMs = send(request, single.server().server().id(), nowMs);
