--- a/logic/src/test/java/io/anvilusher/logic/placement/PlainPlacerTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/placement/PlainPlacerTests.java
@@ -80,4 +80,25 @@
 		assertEquals(((Placement.SingleServer) placement).server(), this.near);
 	}
 
+	// Servers that differ by 5% share light load; otherwise one of them is never tried.
+	@Test
+	public void idleEqualServerGetsAPartOfLightLoad() {
+		TrackedServer favourite = trackedServer("one", "a");
+		TrackedServer idle = trackedServer("two", "a");
+		long nowMs = 0;
+		int sentToIdle = 0;
+		favourite.health().onResponse(19);
+		idle.health().onResponse(20);
+		for (int request = 0; request < 2_000; request++) {
+			Placement placement = this.placer.place(List.of(favourite, idle), Set.of(), nowMs);
+			TrackedServer selected = ((Placement.SingleServer) placement).server();
+			sentToIdle += (selected == idle) ? 1 : 0;
+			selected.onSent(nowMs);
+			nowMs += 20;
+			selected.health().onResponse((selected == favourite) ? 19 : 20);
+			selected.onEnded();
+		}
+		assertTrue(sentToIdle >= 2_000 / 10, sentToIdle + " of 2,000 requests");
+	}
+
 }
