review: a crowd of prompts with many parts hangs a gateway

Callers see: no answer at all, also at other services, for 20 s and more. Cause, as far as known: PlatformWireFormat.readPrompt keeps each part of a prompt without a bound or an account; the heap is full.

--- a/review/harness-2/LongIds.java
+++ b/review/harness-2/LongIds.java
@@ -47,6 +47,11 @@
 		return this.sentAllAtMs > 0 && System.currentTimeMillis() - this.sentAllAtMs > 5_000;
 	}
 
+	@Override
+	boolean isBroken() {
+		return isLostBroken();
+	}
+
 	@Override
 	void play(GatewayProcess gateway) {
 		for (int channel = 0; channel < CLIENT_CHANNELS; channel++) {
--- a/review/harness-2/ManyParts.java
+++ b/review/harness-2/ManyParts.java
@@ -33,6 +33,11 @@
 		}
 	}
 
+	@Override
+	boolean isBroken() {
+		return isLostBroken();
+	}
+
 	@Override
 	void play(GatewayProcess gateway) throws Exception {
 		String prefix = IntStream.range(0, PARTS)
--- a/review/harness-2/ProcessEndCase.java
+++ b/review/harness-2/ProcessEndCase.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,9 +17,9 @@
 /**
  * A gateway before a model service and an application service. Callers look something up
  * at the application service over kept channels all the while; its servers are sound. The
- * rule LOST is broken if the gateway passes more than three of these requests on and
- * closes their channels without an answer. A process that ends by itself counts as
- * running.
+ * cases count which of these requests the gateway passes on and closes their channels
+ * without an answer, and which have no answer half a second after their timeout. A
+ * process that ends by itself counts as running.
  */
 abstract class ProcessEndCase {
 
@@ -28,9 +29,18 @@
 
 	private static final long WORK_MS = 300;
 
-	/** The rule allows three. */
+	/** LOST allows three. */
 	private static final int MAX_CUT = 3;
 
+	/** The timeout of the route of the lookups; also their deadline. */
+	private static final long TIMEOUT_MS = 5_000;
+
+	/** CONFIG allows an answer so much later. */
+	private static final long LATE_MS = 500;
+
+	/** Fewer late answers are not taken for a hang. */
+	private static final int MIN_LATE = 8;
+
 	private static final String MANIFEST = """
 			{"version":7,"routes":[{"name":"chat","host":"a.example","path_prefix":"/chat/","route_kind":"stream",
 			"timeout_ms":15000,"target_latency_ms":1000,"priority":1,"service":"llm","max_attempts":2,
@@ -60,6 +70,14 @@
 
 	private final AtomicInteger cut = new AtomicInteger();
 
+	private final AtomicInteger overdue = new AtomicInteger();
+
+	private final AtomicInteger late = new AtomicInteger();
+
+	private long lastAnswerAtMs;
+
+	private long longestGapMs;
+
 	private final Set<String> passedOn = ConcurrentHashMap.newKeySet();
 
 	ProcessEndCase(CaseLog log, long watchMs) {
@@ -86,6 +104,19 @@
 		return "%016x".formatted(0x1c41d07b00000000L + this.attempts.incrementAndGet());
 	}
 
+	/** Returns whether the rule of the case was broken. */
+	abstract boolean isBroken();
+
+	/** LOST: more than three requests were passed on and their channels closed. */
+	final boolean isLostBroken() {
+		return this.cut.get() > MAX_CUT;
+	}
+
+	/** CONFIG: more than half of the requests past their timeout have no answer in time. */
+	final boolean isTimeoutBroken() {
+		return this.late.get() >= MIN_LATE && 2 * this.late.get() > this.overdue.get();
+	}
+
 	/** Returns whether the case is over before the end of the time. */
 	boolean isOver() {
 		return false;
@@ -130,7 +161,11 @@
 				this.log.line("too few lookups were answered for a result");
 				return 2;
 			}
-			return (this.cut.get() > MAX_CUT) ? 1 : 0;
+			onAnswer();
+			this.log.line("longest time in which no lookup was answered: " + this.longestGapMs + " ms");
+			this.log.line("lookups unanswered at their timeout: " + this.overdue + ", without an answer half a second later: "
+					+ this.late);
+			return isBroken() ? 1 : 0;
 		}
 		finally {
 			gateway.kill();
@@ -171,11 +206,25 @@
 	private void look(GatewayProcess gateway) {
 		while (!this.stopped.get()) {
 			String id = "";
-			try (Client client = new Client(gateway.port, 10_000)) {
+			long sentAtMs = 0;
+			try (Client client = new Client(gateway.port, (int) (TIMEOUT_MS + LATE_MS))) {
 				while (!this.stopped.get()) {
 					id = nextId();
+					sentAtMs = System.currentTimeMillis();
 					Client.Answer answer = client.exchange("GET", "/look/1", headers(id), new byte[0]);
 					(answer.status() == 200 ? this.answered : this.refused).incrementAndGet();
+					onAnswer();
+					if (System.currentTimeMillis() - sentAtMs > TIMEOUT_MS) {
+						this.overdue.incrementAndGet();
+					}
+				}
+			}
+			catch (SocketTimeoutException ex) {
+				if (!this.stopped.get() && sentAtMs > 0) {
+					this.overdue.incrementAndGet();
+					this.late.incrementAndGet();
+					this.log.line("lookup " + id + " has no answer after " + (System.currentTimeMillis() - sentAtMs)
+							+ " ms");
 				}
 			}
 			catch (IOException ex) {
@@ -188,6 +237,12 @@
 		}
 	}
 
+	private synchronized void onAnswer() {
+		long nowMs = System.currentTimeMillis();
+		this.longestGapMs = Math.max(this.longestGapMs, (this.lastAnswerAtMs > 0) ? nowMs - this.lastAnswerAtMs : 0);
+		this.lastAnswerAtMs = nowMs;
+	}
+
 	static void pause(long ms) {
 		try {
 			Thread.sleep(ms);
