review: servers that have left fill the heap of a gateway

Callers see: after many releases the gateway gets slow, and when many callers come it answers nothing for some seconds and ends by itself. Cause, as far as known: ServerRegistry.goneWithAnnouncement keeps the cached prompt parts of up to 4,096 servers that have left.

--- a/review/harness-2/Backend.java
+++ b/review/harness-2/Backend.java
@@ -30,6 +30,8 @@
 
 	private volatile boolean alive = true;
 
+	private volatile boolean leaving;
+
 	Backend(String service, String stage, Store store, CaseLog record, Work work) throws IOException {
 		this.service = service;
 		this.stage = stage;
@@ -60,8 +62,8 @@
 
 	private void register() {
 		this.store.put("keyed.servers", this.id, """
-				{"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":64,"state":"ready",\
-				"cold_left_ms":0,%s"sequence":%d,"born":%d}""".formatted(this.service, address(),
+				{"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":64,"state":"%s",\
+				"cold_left_ms":0,%s"sequence":%d,"born":%d}""".formatted(this.service, address(), this.leaving ? "draining" : "ready",
 				this.stage.isEmpty() ? ""
 						: "\"stage\":\"" + this.stage
 								+ "\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],",
@@ -70,7 +72,7 @@
 
 	private void heartbeat() {
 		try {
-			while (true) {
+			while (!this.leaving) {
 				Thread.sleep(1_200);
 				if (this.alive) {
 					register();
@@ -82,6 +84,29 @@
 		}
 	}
 
+	/**
+	 * Leaves: reports that it drains, says so in its answers, and ends a while after its
+	 * entry was removed.
+	 */
+	void leave(long drainMs, long laterMs) {
+		this.leaving = true;
+		register();
+		Thread end = new Thread(() -> {
+			try {
+				Thread.sleep(drainMs);
+				this.alive = false;
+				this.store.put("keyed.servers", this.id, "");
+				Thread.sleep(laterMs);
+				this.http.crash();
+			}
+			catch (IOException | InterruptedException ex) {
+				this.record.line("server " + this.id + " does not end: " + ex);
+			}
+		}, "leave");
+		end.setDaemon(true);
+		end.start();
+	}
+
 	/** Crashes, and starts again after some seconds with another id. */
 	void crash(long downMs) throws IOException {
 		this.alive = false;
@@ -136,9 +161,19 @@
 
 	/** Answers with a stream of two events. */
 	static void stream(MiniHttp.Request request, MiniHttp.Conn conn) throws IOException {
+		stream(request, conn, "");
+	}
+
+	/** Answers with a stream of two events, and says if it is leaving. */
+	void streamOrLeave(MiniHttp.Request request, MiniHttp.Conn conn) throws IOException {
+		stream(request, conn, this.leaving ? "Server-Leaving: 1\r\n" : "");
+	}
+
+	private static void stream(MiniHttp.Request request, MiniHttp.Conn conn, String header) throws IOException {
 		StringBuilder body = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: "
 				+ request.header("attempt-id")
-				+ "\r\nResponse-Stamp: 3e1b.07\r\nWeight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+				+ "\r\nResponse-Stamp: 3e1b.07\r\nWeight-Versions: 1\r\n" + header
+				+ "Transfer-Encoding: chunked\r\n\r\n");
 		for (int id = 1; id <= 2; id++) {
 			String event = "id: " + id + "\ndata: t\n\n";
 			body.append(Integer.toHexString(event.length())).append("\r\n").append(event).append("\r\n");
--- a/review/harness-2/ProcessEndCase.java
+++ b/review/harness-2/ProcessEndCase.java
@@ -60,6 +60,11 @@
 
 	final AtomicBoolean stopped = new AtomicBoolean();
 
+	/** The servers of the model service that are there, the oldest first. */
+	final List<Backend> engines = new ArrayList<>();
+
+	private Store usedStore;
+
 	private final long watchMs;
 
 	private final AtomicInteger attempts = new AtomicInteger();
@@ -117,6 +122,15 @@
 		return this.late.get() >= MIN_LATE && 2 * this.late.get() > this.overdue.get();
 	}
 
+	/** Returns the number of servers of the model service. */
+	int engineCount() {
+		return ENGINES;
+	}
+
+	final Backend startEngine() throws IOException {
+		return new Backend("llm", "decode", this.usedStore, this.log, this::runPrompt);
+	}
+
 	/** Returns whether the case is over before the end of the time. */
 	boolean isOver() {
 		return false;
@@ -142,9 +156,10 @@
 		Store store = new Store(this.log);
 		MiniHttp cloud = new MiniHttp((request, conn) -> conn.json(200, "{}"));
 		store.put("keyed.op", "config", MANIFEST);
+		this.usedStore = store;
 		List<Backend> servers = new ArrayList<>();
-		for (int index = 0; index < ENGINES; index++) {
-			servers.add(new Backend("llm", "decode", store, this.log, this::runPrompt));
+		for (int index = 0; index < engineCount(); index++) {
+			this.engines.add(startEngine());
 		}
 		for (int index = 0; index < 3; index++) {
 			servers.add(new Backend("app", "", store, this.log, this::runLookup));
