--- a/review/harness-2/ManyChats.java
+++ b/review/harness-2/ManyChats.java
@@ -10,7 +10,7 @@
 /**
  * Many callers chat at once; each prompt has a few parts. Two servers crash shortly one
  * after the other, each while it runs many of the chats. The callers send their requests
- * again, and other servers answer them.
+ * again once, and each goes on with the next turn of its conversation a second later.
  */
 final class ManyChats extends ProcessEndCase {
 
@@ -25,7 +25,10 @@
 
 	private static final long BETWEEN_CRASHES_MS = 1_500;
 
-	private static final int RETRIES = 2;
+	/** The sheet's number for this kind of request. */
+	private static final int RETRIES = 1;
+
+	private static final int TURNS = 2;
 
 	private final Map<Backend, AtomicInteger> running = new ConcurrentHashMap<>();
 
@@ -56,7 +59,12 @@
 	void play(GatewayProcess gateway) throws Exception {
 		for (int caller = 0; caller < CALLERS; caller++) {
 			int number = caller;
-			start("chat", () -> chat(gateway, number));
+			start("chat", () -> {
+				for (int turn = 0; turn < TURNS; turn++) {
+					chat(gateway, number, turn);
+					pause(1_000);
+				}
+			});
 			pause(10);
 		}
 		pause(500);
@@ -77,18 +85,18 @@
 
 	// A stream that may be resumed is sent again after a failure, on a new channel and with
 	// an id of its own.
-	private void chat(GatewayProcess gateway, int caller) {
+	private void chat(GatewayProcess gateway, int caller, int turn) {
 		for (int attempt = 0; attempt <= RETRIES; attempt++) {
 			Map<String, String> headers = headers(nextId());
 			headers.put("Deadline-Ms", "15000");
 			headers.put("Model", "m");
-			headers.put("Token-Counts", "260,90");
+			headers.put("Token-Counts", (turn == 0) ? "200,90" : "230,90");
 			headers.put("Prompt-Prefix",
 					IntStream.range(1, PARTS)
 						.mapToObj((part) -> "%x%07x:30".formatted(part, caller))
-						.collect(Collectors.joining(",", "5c1e07a2:50,", "")));
+						.collect(Collectors.joining(",", "5c1e07a2:50,", (turn == 0) ? "" : ",f%07x:30".formatted(caller))));
 			try (Client client = new Client(gateway.port, 16_000)) {
-				Client.Answer answer = client.exchange("POST", "/chat/" + caller, headers, bytes("chat " + caller));
+				Client.Answer answer = client.exchange("POST", "/chat/" + caller, headers, bytes("chat " + caller + " turn " + turn));
 				if (answer.status() == 200) {
 					this.answered.incrementAndGet();
 					return;
