Log each send of a request with its step, server and what is known of it

The log of a gateway showed the last server of a request and the number of sends. SendLedger keeps that for each request; "Request ended" and "Attempt failed" carry it. No decision uses it yet.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -21,6 +21,7 @@
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.logic.request.EventSplitter;
+import io.anvilusher.logic.request.SendLedger;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.PromptShape;
 import io.anvilusher.model.request.RefusalReason;
@@ -73,6 +74,8 @@
 
 	private final EventSplitter eventSplitter = new EventSplitter();
 
+	private final SendLedger ledger = new SendLedger();
+
 	private final MemoryBudget.Account streamAccount;
 
 	private @Nullable ServerAttempt currentAttempt;
@@ -100,8 +103,6 @@
 
 	private boolean prefillDone;
 
-	private int sends;
-
 	private int possibleRuns;
 
 	private boolean mayHaveRun;
@@ -154,6 +155,10 @@
 		return this.input;
 	}
 
+	SendLedger ledger() {
+		return this.ledger;
+	}
+
 	LimitedPlacement limitedPlacement() {
 		return this.limitedPlacement;
 	}
@@ -440,7 +445,6 @@
 
 	// Called only with a permit, or for a server without a limit.
 	private void send(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
-		this.sends++;
 		stopWaiting();
 		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
 		this.currentAttempt = next;
@@ -588,8 +592,8 @@
 		this.excludedServers.add(attempt.serverId());
 		boolean continues = !this.streamStarted
 				|| (this.input.route().resumable() && this.eventSplitter.lastId().isPresent());
-		boolean allowed = continues && this.possibleRuns < this.input.route().maxAttempts() && this.sends < MAX_SENDS
-				&& this.input.timeoutAtMs() - nowMs > MIN_REMAINING_MS;
+		boolean allowed = continues && this.possibleRuns < this.input.route().maxAttempts()
+				&& this.ledger.size() < MAX_SENDS && this.input.timeoutAtMs() - nowMs > MIN_REMAINING_MS;
 		if (!allowed
 				|| (arrived && !this.dispatcher.serviceState(this.input.service()).retryBudget().tryRetry(nowMs))) {
 			return false;
@@ -599,6 +603,7 @@
 		LOGGER.atInfo()
 			.addKeyValue("request_id", this.input.head().attemptId())
 			.addKeyValue("server", attempt.serverId())
+			.addKeyValue("attempts", this.ledger.describe())
 			.addKeyValue("failure", failure.label())
 			.addKeyValue("after_ms", attempt.elapsedMs())
 			.log("Attempt failed; the request is sent again");
@@ -872,7 +877,8 @@
 			.addKeyValue("workspace", this.input.workspace().orElse(""))
 			.addKeyValue("table_version", this.input.tableVersion())
 			.addKeyValue("server", (this.currentAttempt != null) ? this.currentAttempt.serverId() : "")
-			.addKeyValue("sends", this.sends)
+			.addKeyValue("sends", this.ledger.size())
+			.addKeyValue("attempts", this.ledger.describe())
 			.addKeyValue("status", status)
 			.addKeyValue("first_result_ms", this.firstResultMs)
 			.addKeyValue("events", this.eventSplitter.events())
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -20,6 +20,7 @@
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.TrackedServer;
+import io.anvilusher.logic.request.SendLedger;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.HttpHeader;
 import io.anvilusher.model.request.PromptShape;
@@ -69,14 +70,14 @@
 
 	private final BodyBuffer bufferedBody;
 
+	private final SendLedger.Send send;
+
 	private @Nullable RunningCall call;
 
 	private @Nullable ResponseHead head;
 
 	private boolean framed;
 
-	private boolean sendStarted;
-
 	private boolean promptReleased;
 
 	private boolean ended;
@@ -95,6 +96,7 @@
 		this.trackedServer = trackedServer;
 		this.uncachedTokens = uncachedTokens;
 		this.step = step;
+		this.send = request.ledger().add(trackedServer.server().id(), step.label());
 		this.bufferedBody = new BodyBuffer(MAX_BUFFERED_BYTES, dispatcher.client().memory().open());
 		this.sentAtMs = dispatcher.nowMs();
 		this.observerDelayAtStartMs = trackedServer.observerDelayMs();
@@ -144,11 +146,11 @@
 	}
 
 	boolean isSendStarted() {
-		return this.sendStarted;
+		return this.send.isStarted();
 	}
 
 	boolean mayHaveRun() {
-		return this.sendStarted && !(this.step instanceof KvStep.Prefill);
+		return this.send.isStarted() && !(this.step instanceof KvStep.Prefill);
 	}
 
 	/**
@@ -201,7 +203,7 @@
 	 * server is silent, it may have gone dark, which closes no connection.
 	 */
 	void abandon() {
-		if (this.sendStarted && !this.ended && !isLeaving()
+		if (this.send.isStarted() && !this.ended && !isLeaving()
 				&& this.trackedServer.health().isUnresponsive(this.dispatcher.nowMs())) {
 			this.dispatcher.onServerSilent(this.trackedServer, this.request.input().subjects());
 		}
@@ -210,8 +212,8 @@
 
 	@Override
 	public void onSending() {
-		if (!this.sendStarted) {
-			this.sendStarted = true;
+		if (!this.send.isStarted()) {
+			this.send.onStarted();
 			this.request.input().charge().onSending();
 		}
 	}
@@ -276,6 +278,7 @@
 	}
 
 	private void onNotRun(long nowMs) {
+		this.send.onRefused();
 		boolean misdirected = this.head != null && this.head.status() == MISDIRECTED;
 		if (misdirected) {
 			// 421 Misdirected Request: the address now belongs to another server or to a
@@ -494,11 +497,15 @@
 		end();
 		this.dispatcher.format()
 			.readHandle(takeBody())
-			.ifPresentOrElse((handle) -> this.request.onPrefilled(this, this.trackedServer.server().address(), handle),
-					() -> this.request.onFailed(this, AttemptFailure.FRAMES_BROKEN));
+			.ifPresentOrElse(this::onHandle, () -> this.request.onFailed(this, AttemptFailure.FRAMES_BROKEN));
 		this.dispatcher.onCapacityFreed(this.request.input().service());
 	}
 
+	private void onHandle(String handle) {
+		this.send.onPrefilled();
+		this.request.onPrefilled(this, this.trackedServer.server().address(), handle);
+	}
+
 	@Override
 	public void onFailure(boolean sent, IOException cause) {
 		if (this.ignored) {
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/KvStep.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/KvStep.java
@@ -1,11 +1,21 @@
 package io.anvilusher.gateway.wire;
 
+import java.util.Locale;
+
 /**
  * The step that an engine performs for a request. A request may be split between two
  * engines: one runs the prefill, the other one fetches the KV cache and decodes.
  */
 public sealed interface KvStep {
 
+	/**
+	 * Returns the name of the step for log lines.
+	 * @return the name in lower case
+	 */
+	default String label() {
+		return getClass().getSimpleName().toLowerCase(Locale.ROOT);
+	}
+
 	/** The request is not split; one server runs it completely. */
 	record None() implements KvStep {
 
