Promise "not run" only if each send is proven not to have run

What callers saw: 503 queue_timeout, "not_run", for a stream of partcheck that an engine had got and given no token of (REFUSED), and streams that may not be resumed at two engines (TWICE), at gateways whose uploads wait at a narrow link. Cause: a send for the prefill counted as no run whatever became of it: cut off at the deadline, reset, answered with 500 or 504, with a refusal of another request, or without a handle. The users' pages say that only Not-Executed and 421 prove it; after a reset, a closed channel or no answer a request may have run, and own 500 and 504 count as run. Fix: SendLedger decides for the whole request. A prefill is proven by its handle only. A stream that may be resumed is still sent again after a prefill without proof. A refusal also ends a send that is still active.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -105,8 +105,6 @@
 
 	private int possibleRuns;
 
-	private boolean mayHaveRun;
-
 	private boolean streamStarted;
 
 	private boolean serverPaused;
@@ -195,10 +193,7 @@
 	void endUnexpectedly(@Nullable ServerAttempt attempt, Throwable cause) {
 		boolean ended = this.done;
 		this.done = true;
-		this.mayHaveRun |= Stream.of(Optional.ofNullable(attempt), Optional.ofNullable(this.currentAttempt))
-			.flatMap(Optional::stream)
-			.anyMatch(ServerAttempt::mayHaveRun);
-		RefusalReason reason = this.mayHaveRun ? RefusalReason.SERVER_LOST : RefusalReason.GATEWAY_FAILED;
+		RefusalReason reason = this.ledger.mayHaveRun() ? RefusalReason.SERVER_LOST : RefusalReason.GATEWAY_FAILED;
 		UnexpectedExceptions.runAll(() -> logUnexpected(attempt, cause, ended),
 				() -> Optional.ofNullable(attempt).ifPresent(ServerAttempt::endUnexpectedly),
 				() -> Optional.ofNullable(this.currentAttempt).ifPresent(ServerAttempt::endUnexpectedly),
@@ -218,7 +213,7 @@
 			.addKeyValue("request_id", this.input.head().attemptId())
 			.addKeyValue("service", this.input.service())
 			.addKeyValue("server", (attempt != null) ? attempt.serverId() : "")
-			.addKeyValue("may_have_run", this.mayHaveRun)
+			.addKeyValue("may_have_run", this.ledger.mayHaveRun())
 			.addKeyValue("stream_started", this.streamStarted)
 			.addKeyValue("already_ended", ended)
 			.log("Unexpected exception; the request ends");
@@ -557,8 +552,8 @@
 			return;
 		}
 		boolean ran = attempt.mayHaveRun();
-		if (ran) {
-			this.mayHaveRun = true;
+		// A prefill is no run that counts against the attempts of the route.
+		if (ran && !attempt.isPrefill()) {
 			this.possibleRuns++;
 		}
 		if ((ran && !this.input.route().isRepeatable()) || !retry(attempt, failure, true)) {
@@ -582,7 +577,6 @@
 		if (!(this.dispatcher.place(this, tried) instanceof Placement.SingleServer)) {
 			return false;
 		}
-		this.mayHaveRun = true;
 		this.possibleRuns++;
 		return retry(attempt, AttemptFailure.SERVER_CRASHED, true);
 	}
@@ -645,8 +639,9 @@
 		}
 		// The reason informs the caller whether the request may have been run. A proposed
 		// reason that contradicts what is known about the attempts is replaced.
-		RefusalReason reason = (proposed.notRun() && this.mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
-		reason = (!proposed.notRun() && !this.mayHaveRun) ? RefusalReason.NO_SERVER : reason;
+		boolean mayHaveRun = this.ledger.mayHaveRun();
+		RefusalReason reason = (proposed.notRun() && mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
+		reason = (!proposed.notRun() && !mayHaveRun) ? RefusalReason.NO_SERVER : reason;
 		if (reason == RefusalReason.SERVICE_SATURATED
 				&& this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers).isPresent()) {
 			this.limitedPlacement.onRefused();
@@ -655,6 +650,14 @@
 		finish(reason.code(), reason.httpStatus());
 		this.dispatcher.meters().refused(this.input.service(), reason);
 		this.response.refuse(reason, retryAfterMs);
+		abandonActiveAttempt();
+	}
+
+	// Nothing of the request may leave after its caller was told that it was not run.
+	private void abandonActiveAttempt() {
+		if (this.currentAttempt != null && this.currentAttempt.isActive()) {
+			this.currentAttempt.abandon();
+		}
 	}
 
 	private OptionalLong retryAfterMs(RefusalReason reason) {
@@ -689,12 +692,8 @@
 	}
 
 	private void refuseInProgress(RefusalReason reasonIfRun, RefusalReason reasonIfNotRun) {
-		ServerAttempt active = this.currentAttempt;
-		this.mayHaveRun |= active != null && active.mayHaveRun();
-		refuse(this.mayHaveRun ? reasonIfRun : reasonIfNotRun);
-		if (active != null) {
-			active.abandon();
-		}
+		refuse(this.ledger.mayHaveRun() ? reasonIfRun : reasonIfNotRun);
+		abandonActiveAttempt();
 	}
 
 	private void onCallerDisconnected() {
@@ -702,9 +701,7 @@
 			return;
 		}
 		finish("caller gone", 0);
-		if (this.currentAttempt != null) {
-			this.currentAttempt.abandon();
-		}
+		abandonActiveAttempt();
 	}
 
 	/**
@@ -840,7 +837,6 @@
 		if (claimsNotRun) {
 			// The server ran the request, but a caller would take one of these statuses
 			// to mean that it was not run.
-			this.mayHaveRun = true;
 			refuse(RefusalReason.SERVER_LOST);
 			return;
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -150,7 +150,19 @@
 	}
 
 	boolean mayHaveRun() {
-		return this.send.isStarted() && !(this.step instanceof KvStep.Prefill);
+		return this.send.mayHaveRun();
+	}
+
+	boolean isPrefill() {
+		return this.step instanceof KvStep.Prefill;
+	}
+
+	/**
+	 * Returns whether the outcome of the attempt is still open.
+	 * @return false if it has an outcome or was cancelled
+	 */
+	boolean isActive() {
+		return !this.ended;
 	}
 
 	/**
