Open a connection of its own for a request that a server gets again

What happens: a prompt is prefilled, its decode engine refuses, and the same prefill engine prefills it once more, on the kept connection of the first time. The id is the same for both sends, so a late repeat of the first answer counts as the answer to the second one: its handle has been taken or freed, and a refusal would count as one of the second send. Fix: if the ledger has a send to the server already, the next one opens a new connection, on which no earlier answer can arrive.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -70,6 +70,8 @@
 
 	private final BodyBuffer bufferedBody;
 
+	private final boolean repeated;
+
 	private final SendLedger.Send send;
 
 	private @Nullable RunningCall call;
@@ -96,6 +98,7 @@
 		this.trackedServer = trackedServer;
 		this.uncachedTokens = uncachedTokens;
 		this.step = step;
+		this.repeated = request.ledger().contains(trackedServer.server().id());
 		this.send = request.ledger().add(trackedServer.server().id(), step.label());
 		this.bufferedBody = new BodyBuffer(MAX_BUFFERED_BYTES, dispatcher.client().memory().open());
 		this.sentAtMs = dispatcher.nowMs();
@@ -113,10 +116,16 @@
 			.forwardedHeaders(input.exchange().getRequestHeaders(), info);
 		HttpCall httpCall = new HttpCall(input.exchange().getRequestMethod().toString(),
 				URI.create("http://" + this.trackedServer.server().address()), input.path(), headers, input.body(),
-				input.head().attemptId().isEmpty());
+				!isAnswerIdentifiable());
 		this.call = this.dispatcher.client().start(httpCall, this);
 	}
 
+	// On a kept connection, a late answer to an earlier send of the same request would be
+	// taken for the answer to this one.
+	private boolean isAnswerIdentifiable() {
+		return !this.repeated && !this.request.input().head().attemptId().isEmpty();
+	}
+
 	// Short prompts get priority 1 and run before long ones with priority 4: a short
 	// prompt delays a long one only a little, a long prompt delays a short one a lot.
 	private OptionalInt priority(PromptShape prompt) {
