Dispatcher over interfaces for HTTP calls, the traffic thread and the response

A request's life could be tested only through sockets and a real clock, so no test could choose the order of its events. The dispatcher now uses HttpCalls, which StreamingHttpClient implements, XnioExecutor, which XnioIoThread implements, and CallerResponse, which ExchangeResponse implements (the former class, renamed). SuspectGuard and CrashDetector take XnioExecutor as well. No behaviour changes.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/RequestBodyReader.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/RequestBodyReader.java
@@ -47,8 +47,7 @@
 	 * @param maxBytes maximum size of the body, in bytes
 	 * @param listener receives the outcome
 	 */
-	public RequestBodyReader(HttpServerExchange exchange, StreamingHttpClient client, long maxBytes,
-			Listener listener) {
+	public RequestBodyReader(HttpServerExchange exchange, HttpCalls client, long maxBytes, Listener listener) {
 		this(exchange, client.buffers(), client.memory(), maxBytes, listener);
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -33,7 +33,7 @@
  * Makes HTTP calls over Undertow's client. Responses are passed on as they arrive, and
  * connections are pooled for reuse.
  */
-public final class StreamingHttpClient implements AutoCloseable {
+public final class StreamingHttpClient implements HttpCalls, AutoCloseable {
 
 	private static final Logger LOGGER = LoggerFactory.getLogger(StreamingHttpClient.class);
 
@@ -129,13 +129,7 @@
 		UndertowClient.getInstance();
 	}
 
-	/**
-	 * Starts a call. Any failure, also one to open a connection at all, is reported to
-	 * the listener.
-	 * @param call the call
-	 * @param listener receives the events of the call
-	 * @return handle of the call in progress
-	 */
+	@Override
 	public RunningCall start(HttpCall call, HttpCallListener listener) {
 		ServerConnection pooled = call.newConnection() ? null : takeIdleConnection(call.target());
 		if (pooled != null) {
@@ -261,15 +255,13 @@
 		}
 	}
 
-	/**
-	 * Returns the budget of the memory for responses.
-	 * @return the budget, which other messages of the process may share
-	 */
+	@Override
 	public MemoryBudget memory() {
 		return this.memory;
 	}
 
-	ByteBufferPool buffers() {
+	@Override
+	public ByteBufferPool buffers() {
 		return this.buffers;
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -41,8 +41,8 @@
 import io.anvilusher.gateway.allowance.AllowanceGuard;
 import io.anvilusher.gateway.allowance.CountedCharge;
 import io.anvilusher.gateway.allowance.RequestCharge;
-import io.anvilusher.gateway.request.CallerResponse;
 import io.anvilusher.gateway.request.Dispatcher;
+import io.anvilusher.gateway.request.ExchangeResponse;
 import io.anvilusher.gateway.request.RequestInput;
 import io.anvilusher.gateway.request.UnexpectedExceptions;
 import io.anvilusher.gateway.wire.RequestHead;
@@ -190,7 +190,7 @@
 		}
 		catch (RuntimeException | Error ex) {
 			UnexpectedExceptions.runAll(
-					() -> new CallerResponse(exchange).endUnexpectedly(RefusalReason.GATEWAY_FAILED,
+					() -> new ExchangeResponse(exchange).endUnexpectedly(RefusalReason.GATEWAY_FAILED,
 							OptionalLong.of(FAILED_RETRY_AFTER_MS)),
 					() -> LOGGER.atError()
 						.setCause(ex)
@@ -280,7 +280,7 @@
 			.addKeyValue("table_version", this.routes.get().map((index) -> index.table().version()).orElse(-1L))
 			.addKeyValue("outcome", reason.code())
 			.log("Request refused");
-		new CallerResponse(exchange).refuse(reason, retryAfterMs);
+		new ExchangeResponse(exchange).refuse(reason, retryAfterMs);
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -16,10 +16,10 @@
 import io.micrometer.core.instrument.Timer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.XnioIoThread;
+import org.xnio.XnioExecutor;
 
+import io.anvilusher.adapters.http.HttpCalls;
 import io.anvilusher.adapters.http.RunningCall;
-import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.gateway.control.EngineControlClient;
@@ -80,7 +80,7 @@
 
 	private final WireFormat format;
 
-	private final StreamingHttpClient client;
+	private final HttpCalls client;
 
 	private final EngineControlClient engineControl;
 
@@ -94,7 +94,7 @@
 
 	private final MonotonicClock clock;
 
-	private final XnioIoThread thread;
+	private final XnioExecutor thread;
 
 	private final RandomGenerator random;
 
@@ -147,8 +147,17 @@
 	 * @param input the request
 	 */
 	public void start(RequestInput input) {
+		start(input, new ExchangeResponse(input.exchange()));
+	}
+
+	/**
+	 * Starts a request like {@link #start(RequestInput)}.
+	 * @param input the request
+	 * @param response the response to its caller
+	 */
+	void start(RequestInput input, CallerResponse response) {
 		serviceState(input.service()).retryBudget().onRequest(nowMs());
-		GatewayRequest request = new GatewayRequest(this, input);
+		GatewayRequest request = new GatewayRequest(this, input, response);
 		this.activeRequests.add(request);
 		request.start();
 	}
@@ -479,7 +488,7 @@
 	 * Returns the client that makes the calls to servers.
 	 * @return the client, whose memory budget all messages share
 	 */
-	public StreamingHttpClient client() {
+	public HttpCalls client() {
 		return this.client;
 	}
 
@@ -521,9 +530,9 @@
 	 * exchanges no messages with other gateways
 	 * @param limits limits that servers name
 	 */
-	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
+	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, HttpCalls client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
-			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random,
+			ServerAnnouncements announcements, MonotonicClock clock, XnioExecutor thread, RandomGenerator random,
 			Optional<CoordinatedPlacement> coordination, ServerLimits limits) {
 
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -124,11 +124,11 @@
 
 	private Optional<SaturationLimit> limit = Optional.empty();
 
-	GatewayRequest(Dispatcher dispatcher, RequestInput input) {
+	GatewayRequest(Dispatcher dispatcher, RequestInput input, CallerResponse response) {
 		this.dispatcher = dispatcher;
 		this.input = input;
 		this.limitedPlacement = new LimitedPlacement(dispatcher.limits(), dispatcher.meters(), input.service());
-		this.response = new CallerResponse(input.exchange());
+		this.response = response;
 		this.streamAccount = dispatcher.client().memory().open();
 		input.exchange().addExchangeCompleteListener((ended, next) -> {
 			UnexpectedExceptions.runAll(this::releaseMemory, this::endChargeIfDone);
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/CrashDetector.java
@@ -7,7 +7,7 @@
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.xnio.XnioIoThread;
+import org.xnio.XnioExecutor;
 
 import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
@@ -42,7 +42,7 @@
 
 	private final EngineControlClient client;
 
-	private final XnioIoThread thread;
+	private final XnioExecutor thread;
 
 	private final MonotonicClock clock;
 
@@ -69,7 +69,7 @@
 	 * @param meters the metrics of this process
 	 * @param listener is notified of crashes
 	 */
-	CrashDetector(EngineControlClient client, XnioIoThread thread, MonotonicClock clock, Meters meters,
+	CrashDetector(EngineControlClient client, XnioExecutor thread, MonotonicClock clock, Meters meters,
 			CrashListener listener) {
 		this.client = client;
 		this.thread = thread;
--- a/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/suspect/SuspectGuard.java
@@ -7,7 +7,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 
-import org.xnio.XnioIoThread;
+import org.xnio.XnioExecutor;
 
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.StoreTable;
@@ -39,7 +39,7 @@
 	 * @param timeOfDayMs estimate of the time of day, in ms since 1970
 	 * @param random spreads the writes of the gateways
 	 */
-	public SuspectGuard(String process, EngineControlClient client, XnioIoThread thread, StoreTable table,
+	public SuspectGuard(String process, EngineControlClient client, XnioExecutor thread, StoreTable table,
 			TableFollower.ControlContext context, LongSupplier timeOfDayMs, RandomGenerator random) {
 		this.context = context;
 		this.follower = new SuspectFollower(process, table, context, timeOfDayMs, random, this.answeredSubjects);
