Stop the upload to a server that has refused the request

A server may refuse a long request before its body is in, and reads on. The gateway passed the refusal on, or sent the request elsewhere, while the rest of the upload still left on the first connection: after a promise of "not run", nothing of a request may leave any more. Fix: an attempt that is refused before its request is written is cancelled.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -411,6 +411,11 @@
 		});
 	}
 
+	@Override
+	public boolean isRequestWritten() {
+		return this.requestBodyWritten;
+	}
+
 	@Override
 	public void cancel() {
 		runOnIoThread(() -> {
--- a/adapters/src/main/java/io/anvilusher/adapters/http/RunningCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/RunningCall.java
@@ -1,7 +1,7 @@
 package io.anvilusher.adapters.http;
 
 /**
- * A call in progress. Its methods may be called on any thread.
+ * A call in progress. Its methods may be called on any thread, except as noted.
  */
 public interface RunningCall {
 
@@ -16,6 +16,13 @@
 	 */
 	void resume();
 
+	/**
+	 * Returns whether the whole request has been passed to the connection. Unlike the
+	 * other methods, called on the thread of the call only.
+	 * @return false if a part of it is still to be written
+	 */
+	boolean isRequestWritten();
+
 	/**
 	 * Cancels the call by closing its connection. The listener is notified of a failure
 	 * unless the call has already ended.
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -309,7 +309,13 @@
 		else {
 			this.trackedServer.window().onRejected(this.request.input().route().targetMs(), nowMs);
 		}
-		ignoreRest();
+		if (this.call != null && !this.call.isRequestWritten()) {
+			// The server might still run what it gets after its refusal.
+			cancel();
+		}
+		else {
+			ignoreRest();
+		}
 		this.request.onNotRun(this, misdirected ? AttemptFailure.SERVER_UNREACHABLE : AttemptFailure.SERVER_FULL, true);
 	}
 
--- a/gateway/src/test/java/io/anvilusher/gateway/request/ModelCall.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/request/ModelCall.java
@@ -193,6 +193,11 @@
 		this.paused = false;
 	}
 
+	@Override
+	public boolean isRequestWritten() {
+		return this.upload == Upload.WHOLE;
+	}
+
 	@Override
 	public void cancel() {
 		this.cancelled = true;
