Cancel the last call of a request whose caller is answered or gone

A refusal ends an active send before the caller is told, and a request that must run at most once is not sent again while its ledger does not exclude a run, whichever attempt asks.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -586,7 +586,8 @@
 		this.excludedServers.add(attempt.serverId());
 		boolean continues = !this.streamStarted
 				|| (this.input.route().resumable() && this.eventSplitter.lastId().isPresent());
-		boolean allowed = continues && this.possibleRuns < this.input.route().maxAttempts()
+		boolean repeatable = this.input.route().isRepeatable() || !this.ledger.mayHaveRun();
+		boolean allowed = continues && repeatable && this.possibleRuns < this.input.route().maxAttempts()
 				&& this.ledger.size() < MAX_SENDS && this.input.timeoutAtMs() - nowMs > MIN_REMAINING_MS;
 		if (!allowed
 				|| (arrived && !this.dispatcher.serviceState(this.input.service()).retryBudget().tryRetry(nowMs))) {
@@ -649,13 +650,16 @@
 		OptionalLong retryAfterMs = retryAfterMs(reason);
 		finish(reason.code(), reason.httpStatus());
 		this.dispatcher.meters().refused(this.input.service(), reason);
+		// Nothing of the request may leave once its caller is told that it was not run.
+		if (this.currentAttempt != null && this.currentAttempt.isActive()) {
+			this.currentAttempt.abandon();
+		}
 		this.response.refuse(reason, retryAfterMs);
-		abandonActiveAttempt();
 	}
 
-	// Nothing of the request may leave after its caller was told that it was not run.
-	private void abandonActiveAttempt() {
-		if (this.currentAttempt != null && this.currentAttempt.isActive()) {
+	// Also ends a call that is only read on for the sake of its connection.
+	private void abandonLastAttempt() {
+		if (this.currentAttempt != null) {
 			this.currentAttempt.abandon();
 		}
 	}
@@ -693,7 +697,7 @@
 
 	private void refuseInProgress(RefusalReason reasonIfRun, RefusalReason reasonIfNotRun) {
 		refuse(this.ledger.mayHaveRun() ? reasonIfRun : reasonIfNotRun);
-		abandonActiveAttempt();
+		abandonLastAttempt();
 	}
 
 	private void onCallerDisconnected() {
@@ -701,7 +705,7 @@
 			return;
 		}
 		finish("caller gone", 0);
-		abandonActiveAttempt();
+		abandonLastAttempt();
 	}
 
 	/**
