A stream that has begun goes on at its software version only

What callers saw: within one response, events of two software versions. When the server of a stream failed, the gateway went on at any server that accepts.

Cause: nothing was kept of the server that sent the first event. Now the request keeps a binding to the software version of that server, and all later placements (local, queued, probed, fetches of a KV cache) see only the servers that it allows; a bound request is not given to a coordinator, which knows nothing of bindings. If no server is left, the response is broken off as before, so that the caller sees it.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -171,10 +171,13 @@
 		serviceState(request.input().service()).queue().remove(request);
 	}
 
+	private List<TrackedServer> usableServers(GatewayRequest request) {
+		return this.serverRegistry.servers(request.input().service()).stream().filter(request::mayUse).toList();
+	}
+
 	Placement place(GatewayRequest request, Set<String> excludedServers) {
 		return request.limitedPlacement()
-			.place(this.serverRegistry.servers(request.input().service()),
-					(servers) -> place(request, servers, excludedServers), nowMs());
+			.place(usableServers(request), (servers) -> place(request, servers, excludedServers), nowMs());
 	}
 
 	private Placement place(GatewayRequest request, List<TrackedServer> servers, Set<String> excludedServers) {
@@ -203,10 +206,8 @@
 
 	Optional<TrackedServer> placeDecode(GatewayRequest request, TrackedServer source, Set<String> excludedServers) {
 		return request.limitedPlacement()
-			.placeDecode(
-					this.serverRegistry.servers(request.input().service()), (engines) -> this.enginePlacer
-						.placeDecode(source, engines, excludedServers, request.input().route().targetMs(), nowMs()),
-					nowMs());
+			.placeDecode(usableServers(request), (engines) -> this.enginePlacer.placeDecode(source, engines,
+					excludedServers, request.input().route().targetMs(), nowMs()), nowMs());
 	}
 
 	List<TrackedServer> enginesToProbe(GatewayRequest request, Set<String> excludedServers) {
@@ -214,8 +215,7 @@
 			.head()
 			.prompt()
 			.filter((prompt) -> request.input().route().carriesPrompt())
-			.map((prompt) -> this.enginePlacer.enginesToProbe(prompt,
-					this.serverRegistry.servers(request.input().service()), excludedServers, nowMs()))
+			.map((prompt) -> this.enginePlacer.enginesToProbe(prompt, usableServers(request), excludedServers, nowMs()))
 			.orElseGet(List::of);
 	}
 
@@ -391,7 +391,7 @@
 			.filter((server) -> server.health().isUnhealthy(nowMs))
 			.map((server) -> server.server().id())
 			.collect(Collectors.toUnmodifiableSet());
-		OptionalLong nextPermitInMs = nextPermitInMs(service, unhealthy);
+		OptionalLong nextPermitInMs = nextPermitInMs(this.serverRegistry.servers(service), unhealthy);
 		if (nextPermitInMs.isPresent()) {
 			return Math.max(MIN_PERMIT_RETRY_AFTER_MS, nextPermitInMs.getAsLong());
 		}
@@ -403,16 +403,19 @@
 	}
 
 	/**
-	 * Estimates when a request can be sent to one of the servers of a service that run
-	 * complete requests, if all of them have limits.
-	 * @param service name of the service
+	 * Estimates when a request can be sent to one of the servers that run complete
+	 * requests, if all of those that it may be sent to have limits.
+	 * @param request the request
 	 * @param excludedServers ids of servers that are not to be used
 	 * @return the time in ms; empty if a limit is not what keeps the request from a
 	 * server
 	 */
-	OptionalLong nextPermitInMs(String service, Set<String> excludedServers) {
-		return this.limits.nextPermitInMs(this.serverRegistry.servers(service)
-			.stream()
+	OptionalLong nextPermitInMs(GatewayRequest request, Set<String> excludedServers) {
+		return nextPermitInMs(usableServers(request), excludedServers);
+	}
+
+	private OptionalLong nextPermitInMs(List<TrackedServer> servers, Set<String> excludedServers) {
+		return this.limits.nextPermitInMs(servers.stream()
 			.filter((server) -> !server.isPrefill() && !excludedServers.contains(server.server().id()))
 			.toList());
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 
 import io.anvilusher.gateway.placement.PlacementTicket;
+import io.anvilusher.gateway.stream.StreamBinding;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.admission.MemoryBudget;
@@ -108,6 +109,8 @@
 
 	private boolean streamStarted;
 
+	private Optional<StreamBinding> binding = Optional.empty();
+
 	private boolean serverPaused;
 
 	private boolean done;
@@ -158,6 +161,16 @@
 		return this.limitedPlacement;
 	}
 
+	/**
+	 * Returns whether the request may be sent to a server.
+	 * @param server the server
+	 * @return false if the stream has begun at a server whose events do not fit to those
+	 * of this one
+	 */
+	boolean mayUse(TrackedServer server) {
+		return this.binding.map((bound) -> bound.allows(server.server())).orElse(true);
+	}
+
 	void start() {
 		guard(() -> {
 			this.response.onCallerDisconnected(() -> guard(this::onCallerDisconnected));
@@ -245,9 +258,11 @@
 		return refused;
 	}
 
+	// A coordinator knows nothing of the servers that a stream may go on at.
 	private void placeOrEnqueue() {
 		this.waitingSinceMs = this.dispatcher.nowMs();
-		if (this.dispatcher.askCoordinator(this, this.excludedServers, new TicketListener()).isEmpty()) {
+		if (this.binding.isPresent()
+				|| this.dispatcher.askCoordinator(this, this.excludedServers, new TicketListener()).isEmpty()) {
 			placeWithoutCoordinator();
 		}
 	}
@@ -265,7 +280,7 @@
 		if (tryPlace()) {
 			return;
 		}
-		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers);
+		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this, this.excludedServers);
 		if (nextPermitInMs.orElse(0) > maxQueueTimeMs()) {
 			refuseSaturated(SaturationLimit.SERVER_LIMIT);
 		}
@@ -345,6 +360,14 @@
 			placeWithoutCoordinator();
 			return;
 		}
+		Optional<TrackedServer> unfit = Stream.of(engine, decode)
+			.flatMap(Optional::stream)
+			.filter((assignedEngine) -> !mayUse(assignedEngine))
+			.findFirst();
+		if (unfit.isPresent()) {
+			rejectAssignment(unfit.get());
+			return;
+		}
 		this.late = assigned.late();
 		List<TrackedServer> lacking = this.limitedPlacement
 			.lacking(Stream.of(engine, decode).flatMap(Optional::stream).toList(), this.dispatcher.nowMs());
@@ -367,7 +390,8 @@
 		}
 	}
 
-	// The coordinator does not know which permits this gateway has.
+	// The coordinator does not know which permits this gateway has, nor where the stream
+	// began.
 	private void rejectAssignment(TrackedServer engine) {
 		failTicket(engine.server().id(), true);
 		placeWithoutCoordinator();
@@ -506,7 +530,7 @@
 		if (this.done || tryFetch(fetch, prefill)) {
 			return;
 		}
-		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers);
+		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this, this.excludedServers);
 		long leftMs = this.input.arrivedAtMs() + this.input.route().targetMs() - this.dispatcher.nowMs();
 		if (nextPermitInMs.isPresent() && nextPermitInMs.getAsLong() < leftMs) {
 			this.dispatcher.schedule(PERMIT_CHECK_INTERVAL_MS, () -> guard(() -> fetchOrWait(fetch, prefill)));
@@ -643,7 +667,7 @@
 		RefusalReason reason = (proposed.notRun() && this.mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
 		reason = (!proposed.notRun() && !this.mayHaveRun) ? RefusalReason.NO_SERVER : reason;
 		if (reason == RefusalReason.SERVICE_SATURATED
-				&& this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers).isPresent()) {
+				&& this.dispatcher.nextPermitInMs(this, this.excludedServers).isPresent()) {
 			this.limitedPlacement.onRefused();
 		}
 		OptionalLong retryAfterMs = retryAfterMs(reason);
@@ -787,6 +811,7 @@
 		this.lastEventAtMs = nowMs;
 		if (!this.streamStarted && this.streamHead != null) {
 			this.streamStarted = true;
+			this.binding = this.binding.or(() -> Optional.of(StreamBinding.to(attempt.server())));
 			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
 		}
 		this.response.sendEvents(completeEvents, () -> guard(this::onEventsWritten));
--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -20,6 +20,7 @@
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.TrackedServer;
+import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.HttpHeader;
 import io.anvilusher.model.request.PromptShape;
@@ -126,6 +127,10 @@
 		return this.trackedServer.server().id();
 	}
 
+	RegisteredServer server() {
+		return this.trackedServer.server();
+	}
+
 	KvStep step() {
 		return this.step;
 	}
