KV caches move only between engines of one software version

What callers saw: a stream of one version whose prompt was read by another. Cause: any prefill engine handed its KV cache to any decode engine, and what two versions write does not fit together.

EnginePlacer and PlacementCoordinator pair engines of one version only, and leave out a prefill engine without a decode engine of its version, since no engine could fetch what it computes. A pair of two versions from a coordinator that knows another registration is rejected, and the request placed here. Two engines of unknown version count as one version: all entries of a deployment without the field would otherwise be left without pairs.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -364,8 +364,8 @@
 			.flatMap(Optional::stream)
 			.filter((assignedEngine) -> !mayUse(assignedEngine))
 			.findFirst();
-		if (unfit.isPresent()) {
-			rejectAssignment(unfit.get());
+		if (unfit.isPresent() || !isPair(engine.get(), decode)) {
+			rejectAssignment(unfit.or(() -> decode).orElse(engine.get()));
 			return;
 		}
 		this.late = assigned.late();
@@ -390,6 +390,11 @@
 		}
 	}
 
+	// A coordinator may know an older or newer registration of one of the engines.
+	private static boolean isPair(TrackedServer engine, Optional<TrackedServer> decode) {
+		return decode.map((fetching) -> fetching.server().runsSoftwareOf(engine.server())).orElse(true);
+	}
+
 	// The coordinator does not know which permits this gateway has, nor where the stream
 	// began.
 	private void rejectAssignment(TrackedServer engine) {
--- a/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/EnginePlacer.java
@@ -17,7 +17,8 @@
  * Places requests on model engines. It is designed for two kinds of requests: bursts of
  * long prompts with short responses, whose shared prompt parts together exceed the KV
  * cache of one engine, and short prompts with long responses. The latter are worth
- * several times as much, and the prefill of long prompts must not delay their decode.
+ * several times as much, and the prefill of long prompts must not delay their decode. KV
+ * caches move only between engines of one software version.
  * <p>
  * Long prompts are placed by rendezvous hashing on the last shared part, so that normally
  * only one engine, the home of the part, has to prefill it. If the {@link PromptWindow}
@@ -147,11 +148,12 @@
 	 * @param avoided ids of engines that earlier attempts of this request were sent to
 	 * @param targetMs target latency of the first event
 	 * @param nowMs current time of the monotonic clock
-	 * @return the engine, or empty if no engine with the decode role is left to try
+	 * @return the engine, or empty if no engine with the decode role and the software
+	 * version of the source is left to try
 	 */
 	public Optional<TrackedServer> placeDecode(TrackedServer source, List<TrackedServer> engines, Set<String> avoided,
 			long targetMs, long nowMs) {
-		List<TrackedServer> decodeEngines = withDecodeRole(usable(engines, avoided, nowMs));
+		List<TrackedServer> decodeEngines = withDecodeRole(usable(withSoftwareOf(source, engines), avoided, nowMs));
 		return decodeEngines.isEmpty() ? Optional.empty()
 				: Optional.of(selectDecodeEngine(source, decodeEngines, targetMs, nowMs));
 	}
@@ -196,7 +198,20 @@
 			.filter((engine) -> !avoided.contains(engine.server().id()))
 			.toList();
 		List<TrackedServer> healthy = untried.stream().filter((engine) -> !engine.health().isUnhealthy(nowMs)).toList();
-		return healthy.stream().allMatch(TrackedServer::isPrefill) ? untried : healthy;
+		return withoutUnmatchedPrefill(healthy.stream().allMatch(TrackedServer::isPrefill) ? untried : healthy);
+	}
+
+	// Without a decode engine of its software version, no engine can fetch what a prefill
+	// engine computes.
+	private static List<TrackedServer> withoutUnmatchedPrefill(List<TrackedServer> engines) {
+		List<TrackedServer> decodeEngines = withDecodeRole(engines);
+		return engines.stream()
+			.filter((engine) -> !engine.isPrefill() || !withSoftwareOf(engine, decodeEngines).isEmpty())
+			.toList();
+	}
+
+	private static List<TrackedServer> withSoftwareOf(TrackedServer source, List<TrackedServer> engines) {
+		return engines.stream().filter((engine) -> engine.server().runsSoftwareOf(source.server())).toList();
 	}
 
 	private static List<TrackedServer> withDecodeRole(List<TrackedServer> engines) {
@@ -231,8 +246,9 @@
 	}
 
 	private Placement placeAt(Home home, List<TrackedServer> decodeEngines, long targetMs, long nowMs) {
-		return home.engine().isPrefill() ? new Placement.Split(home.engine(),
-				selectDecodeEngine(home.engine(), decodeEngines, targetMs, nowMs), home.tokens())
+		return home.engine().isPrefill()
+				? new Placement.Split(home.engine(), selectDecodeEngine(home.engine(),
+						withSoftwareOf(home.engine(), decodeEngines), targetMs, nowMs), home.tokens())
 				: new Placement.SingleServer(home.engine(), home.tokens());
 	}
 
--- a/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
+++ b/logic/src/main/java/io/anvilusher/logic/placement/coordinated/PlacementCoordinator.java
@@ -27,7 +27,8 @@
  * shared parts that another engine has cached counts twice. It is sent once the engine is
  * about to become free and waits in the {@link EngineQueue} of the engine until then.
  * Short prompts with long responses are packed onto few engines, fast ones first, and
- * long prompts keep away from these. Confined to one thread.
+ * long prompts keep away from these. KV caches move only between engines of one software
+ * version. Confined to one thread.
  */
 public final class PlacementCoordinator {
 
@@ -188,7 +189,19 @@
 			.filter((engine) -> !request.excludedEngines().contains(engine.id()))
 			.toList();
 		List<EngineLedger> usable = accepting.stream().filter((engine) -> engine.isUsable(nowMs)).toList();
-		return usable.stream().allMatch(EngineLedger::isPrefill) ? accepting : usable;
+		return withoutUnmatchedPrefill(usable.stream().allMatch(EngineLedger::isPrefill) ? accepting : usable);
+	}
+
+	// Without a decode engine of its software version, no engine can fetch what a prefill
+	// engine computes.
+	private static List<EngineLedger> withoutUnmatchedPrefill(List<EngineLedger> engines) {
+		return engines.stream()
+			.filter((engine) -> !engine.isPrefill() || engines.stream().anyMatch((other) -> canFetch(other, engine)))
+			.toList();
+	}
+
+	private static boolean canFetch(EngineLedger engine, EngineLedger source) {
+		return !engine.isPrefill() && engine.server().runsSoftwareOf(source.server());
 	}
 
 	private PlacementDecision placeShortPrompt(PlacementRequest request, List<EngineLedger> usable, long nowMs) {
@@ -288,7 +301,7 @@
 
 	private Optional<EngineLedger> selectDecodeEngine(PlacementRequest request, EngineLedger source, long nowMs) {
 		return usable(request, nowMs).stream()
-			.filter((engine) -> !engine.isPrefill())
+			.filter((engine) -> canFetch(engine, source))
 			.min(Comparator.<EngineLedger, Boolean>comparing((engine) -> !engine.hasSlot())
 				.thenComparing((engine) -> engine.streams() > 0)
 				.thenComparing((engine) -> !engine.server().dataCentre().equals(source.server().dataCentre()))
--- a/model/src/main/java/io/anvilusher/model/fleet/RegisteredServer.java
+++ b/model/src/main/java/io/anvilusher/model/fleet/RegisteredServer.java
@@ -45,4 +45,14 @@
 				&& this.softwareVersion.equals(other.softwareVersion);
 	}
 
+	/**
+	 * Returns whether two servers run the same version of their software, so that what
+	 * one wrote into a KV cache fits to the other.
+	 * @param other registration of the other server
+	 * @return whether the versions are equal; true also if both are unknown
+	 */
+	public boolean runsSoftwareOf(RegisteredServer other) {
+		return this.softwareVersion.equals(other.softwareVersion);
+	}
+
 }
