A stream that a caller takes up goes on at the version that began it

What callers saw: a stream that was broken off and taken up with Last-Event-Id went on at any server, so that its text was joined from two software versions, with nothing in the response to show it; most after all gateways were killed.

Cause: a gateway kept nothing of a stream after its end. A take-up names the request that brought the first event (Resumes), and is bound to the recorded version. If no server of that version is registered, it is refused at once (stream_version_gone). If the origin is not known, it goes on only if a single version can have begun it (VersionHistory), else it is refused (stream_origin_unknown). Both are 503, not run, without Retry-After, since the same request would be refused again. "Request ended" names the version.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -58,14 +58,17 @@
 import io.anvilusher.gateway.request.DirectMemoryMonitor;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
+import io.anvilusher.gateway.stream.LocalStreamOrigins;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.fleet.LapseGuard;
+import io.anvilusher.logic.fleet.VersionHistory;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.routing.RouteIndex;
 import io.anvilusher.logic.usage.WallClockEstimator;
 import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.routing.EngineProfile;
+import io.anvilusher.model.routing.Route;
 import io.anvilusher.model.routing.RoutingTable;
 import io.anvilusher.model.routing.ServiceProfile;
 
@@ -89,6 +92,12 @@
 	 */
 	private static final double READ_WAIT_SHARE = 0.5;
 
+	/**
+	 * The view of the servers counts as interrupted after this many times the usual time
+	 * between two reads.
+	 */
+	private static final long MAX_READ_AGE_FACTOR = 2;
+
 	/**
 	 * Delay between two reads of the routing tables; small compared with the time within
 	 * which a change must be applied.
@@ -147,6 +156,8 @@
 
 	private final LapseGuard lapseGuard = new LapseGuard();
 
+	private final VersionHistory versions;
+
 	private final AtomicReference<Optional<RouteIndex>> routes = new AtomicReference<>(Optional.empty());
 
 	private final XnioWorker worker;
@@ -183,6 +194,7 @@
 
 	private Gateway(GatewaySettings settings, AdapterFactory factory) throws IOException {
 		this.settings = settings;
+		this.versions = new VersionHistory(MAX_READ_AGE_FACTOR * (serversWaitMs() + serversDelayMs()));
 		StreamingHttpClient.loadProviders();
 		this.worker = Xnio.getInstance()
 			.createWorker(OptionMap.builder()
@@ -243,7 +255,7 @@
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
-						Optional.of(this.coordination), limits),
+						Optional.of(this.coordination), limits, new LocalStreamOrigins(), this.versions),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), settings.clients().callers(), this.worker,
 				this.adapter.format(), dispatcher, this.routes::get, this.clock, this.meters, random,
@@ -312,15 +324,28 @@
 		}
 	}
 
+	private long serversWaitMs() {
+		return (long) (READ_WAIT_SHARE * this.settings.catchUpMs());
+	}
+
+	private long serversDelayMs() {
+		return (long) (SERVERS_DELAY_SHARE * this.settings.drainMs());
+	}
+
+	private Optional<RegisteredServer> readServer(String id, byte[] value) {
+		Optional<RegisteredServer> server = this.adapter.readServer(id, value);
+		server.ifPresent((registration) -> this.versions.onRegistration(registration, this.clock.nowMs()));
+		return server;
+	}
+
 	private void startFollowers() {
-		long waitMs = (long) (READ_WAIT_SHARE * this.settings.catchUpMs());
-		long serversDelayMs = (long) (SERVERS_DELAY_SHARE * this.settings.drainMs());
+		long waitMs = serversWaitMs();
 		new TableFollower<RoutingTable>("routes", this.adapter.routingTables(), this.adapter::readRoutingTable,
 				this::onRoutingTables, this.context,
 				new TableFollower.PollIntervals(TABLE_DELAY_MS, waitMs, MAX_RETRY_DELAY_MS))
 			.start();
-		new TableFollower<>("servers", this.adapter.servers(), this.adapter::readServer, new ServerListener(),
-				this.context, new TableFollower.PollIntervals(serversDelayMs, waitMs, MAX_RETRY_DELAY_MS))
+		new TableFollower<>("servers", this.adapter.servers(), this::readServer, new ServerListener(), this.context,
+				new TableFollower.PollIntervals(serversDelayMs(), waitMs, MAX_RETRY_DELAY_MS))
 			.start();
 	}
 
@@ -331,6 +356,7 @@
 			this.allowances.onLimits(table.allowances());
 			this.routes.set(Optional.of(new RouteIndex(table)));
 			this.coordination.onTable(table);
+			this.versions.onLongestTimeout(table.routes().stream().mapToLong(Route::timeoutMs).max().orElse(0));
 			LOGGER.atInfo()
 				.addKeyValue("version", table.version())
 				.addKeyValue("replaces", versionInUse)
@@ -426,6 +452,7 @@
 		Map<String, RegisteredServer> inUse = this.lapseGuard.inUse(this.registeredServers, this.clock.nowMs());
 		List<RegisteredServer> servers = List.copyOf(inUse.values());
 		this.serversInUse = servers;
+		this.versions.onServers(servers, this.clock.nowMs());
 		this.serverRegistry.publish(servers);
 		this.serversKnown = true;
 		this.worker.getIoThread().execute(this.serverRegistry::applyPublished);
@@ -439,8 +466,19 @@
 			applyServers();
 		}
 
+		@Override
+		public void onRead(long nowMs) {
+			Gateway.this.versions.onRead(nowMs);
+		}
+
+		@Override
+		public void onHistoryDropped() {
+			Gateway.this.versions.onUnreachable();
+		}
+
 		@Override
 		public void onUnreachable(long nowMs) {
+			Gateway.this.versions.onUnreachable();
 			Gateway.this.lapseGuard.onUnreachable(nowMs);
 		}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -124,6 +124,7 @@
 				LOGGER.info(
 						"Table {}: the store no longer keeps the changes from offset {} on; reading all records again",
 						this.name, this.nextOffset);
+				this.listener.onHistoryDropped();
 				start();
 			}
 			else {
@@ -208,6 +209,12 @@
 		default void onRead(long nowMs) {
 		}
 
+		/**
+		 * Called when changes may have been missed, since the store no longer keeps them.
+		 */
+		default void onHistoryDropped() {
+		}
+
 		/**
 		 * Called after each failed read.
 		 * @param nowMs the current time, by the monotonic clock
--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -196,6 +196,19 @@
 			.isPresent();
 	}
 
+	/**
+	 * Returns whether servers of a software version are registered.
+	 * @param service name of the service
+	 * @param softwareVersion the version
+	 * @return whether there is one, even if it is draining or pauses
+	 */
+	public boolean isRegistered(String service, String softwareVersion) {
+		return trackedById().values()
+			.stream()
+			.map(TrackedServer::server)
+			.anyMatch((server) -> server.service().equals(service) && server.softwareVersion().equals(softwareVersion));
+	}
+
 	/**
 	 * Returns the tracked state of a server.
 	 * @param server a registration of the server
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -28,10 +28,13 @@
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.placement.PlacementTicket;
+import io.anvilusher.gateway.stream.StreamOrigins;
+import io.anvilusher.gateway.stream.StreamTakeUps;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.WireFormat;
+import io.anvilusher.logic.fleet.VersionHistory;
 import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.Placement;
 import io.anvilusher.logic.placement.PlacementQueue;
@@ -116,6 +119,10 @@
 
 	private final ServerLimits limits;
 
+	private final StreamOrigins origins;
+
+	private final StreamTakeUps takeUps;
+
 	/**
 	 * Creates a dispatcher.
 	 * @param dependencies the objects that it uses
@@ -138,6 +145,8 @@
 		this.plainPlacer = new PlainPlacer(dataCentre);
 		this.coordination = dependencies.coordination();
 		this.limits = dependencies.limits();
+		this.origins = dependencies.origins();
+		this.takeUps = new StreamTakeUps(this.origins, dependencies.versions(), this.serverRegistry, this.clock);
 		this.limits.onPermits(this::placeAllQueued);
 	}
 
@@ -502,6 +511,14 @@
 		return this.limits;
 	}
 
+	StreamOrigins origins() {
+		return this.origins;
+	}
+
+	StreamTakeUps takeUps() {
+		return this.takeUps;
+	}
+
 	RunCounter runs() {
 		return this.runs;
 	}
@@ -523,11 +540,14 @@
 	 * @param coordination asks coordinators where to send prompts; empty if this process
 	 * exchanges no messages with other gateways
 	 * @param limits limits that servers name
+	 * @param origins records where streams began
+	 * @param versions software versions of the servers by service and time
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, StreamingHttpClient client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
 			ServerAnnouncements announcements, MonotonicClock clock, XnioIoThread thread, RandomGenerator random,
-			Optional<CoordinatedPlacement> coordination, ServerLimits limits) {
+			Optional<CoordinatedPlacement> coordination, ServerLimits limits, StreamOrigins origins,
+			VersionHistory versions) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.request;
 
 import java.nio.ByteBuffer;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -14,6 +15,8 @@
 
 import io.anvilusher.gateway.placement.PlacementTicket;
 import io.anvilusher.gateway.stream.StreamBinding;
+import io.anvilusher.gateway.stream.StreamOrigin;
+import io.anvilusher.gateway.stream.StreamTakeUp;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.admission.MemoryBudget;
@@ -22,6 +25,7 @@
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.logic.request.EventSplitter;
+import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.PromptShape;
 import io.anvilusher.model.request.RefusalReason;
@@ -64,6 +68,10 @@
 
 	private static final long NOT_WAITING = -1;
 
+	/** The same request would be refused again for these reasons. */
+	private static final Set<RefusalReason> FINAL_REASONS = EnumSet.of(RefusalReason.SUSPECTED_OF_CRASHES,
+			RefusalReason.STREAM_ORIGIN_UNKNOWN, RefusalReason.STREAM_VERSION_GONE);
+
 	private final Dispatcher dispatcher;
 
 	private final RequestInput input;
@@ -176,12 +184,43 @@
 			this.response.onCallerDisconnected(() -> guard(this::onCallerDisconnected));
 			this.cancelTimeout = this.dispatcher.schedule(this.input.timeoutAtMs() - this.dispatcher.nowMs(),
 					() -> guard(this::onTimeout));
-			if (!refuseSuspect()) {
-				placeOrEnqueue();
+			if (refuseSuspect()) {
+				return;
+			}
+			if (isTakeUp()) {
+				takeUp();
+				return;
 			}
+			placeOrEnqueue();
 		});
 	}
 
+	private boolean isTakeUp() {
+		return this.input.route().isStream() && this.input.route().resumable() && this.input.head().resumesStream();
+	}
+
+	private void takeUp() {
+		this.dispatcher.takeUps()
+			.decide(this.input.service(), this.input.head().resumesRequest())
+			.whenComplete((decision, failure) -> guard(() -> onTakeUpDecided(decision, failure)));
+	}
+
+	private void onTakeUpDecided(@Nullable StreamTakeUp decision, @Nullable Throwable failure) {
+		if (this.done) {
+			return;
+		}
+		if (decision instanceof StreamTakeUp.Bound bound) {
+			this.binding = Optional.of(bound.binding());
+			placeOrEnqueue();
+		}
+		else if (decision instanceof StreamTakeUp.Refused refused) {
+			refuse(refused.reason());
+		}
+		else {
+			throw new IllegalStateException("no decision about a stream that is taken up", failure);
+		}
+	}
+
 	// An exception ends this request only, even if the step runs within a step of another
 	// one.
 	private void guard(Runnable step) {
@@ -685,7 +724,7 @@
 		if (reason == RefusalReason.SERVICE_SATURATED && this.coordinatorRetryAfterMs.isPresent()) {
 			return this.coordinatorRetryAfterMs;
 		}
-		boolean worthRetrying = reason.notRun() && reason != RefusalReason.SUSPECTED_OF_CRASHES;
+		boolean worthRetrying = reason.notRun() && !FINAL_REASONS.contains(reason);
 		return worthRetrying ? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service()))
 				: OptionalLong.empty();
 	}
@@ -820,11 +859,22 @@
 			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
 		}
 		this.response.sendEvents(completeEvents, () -> guard(this::onEventsWritten));
+		if (first) {
+			recordOrigin(attempt.server());
+		}
 		if (this.response.pendingBytes() > MAX_PENDING_BYTES) {
 			pauseServer(attempt);
 		}
 	}
 
+	private void recordOrigin(RegisteredServer server) {
+		String requestId = this.input.head().attemptId();
+		if (this.input.route().resumable() && !this.input.head().resumesStream() && !requestId.isEmpty()
+				&& !server.softwareVersion().isEmpty()) {
+			this.dispatcher.origins().onBegun(requestId, new StreamOrigin(server.service(), server.softwareVersion()));
+		}
+	}
+
 	private void onEventsWritten() {
 		accountForStream();
 		if (this.serverPaused && this.response.pendingBytes() < MAX_PENDING_BYTES / 2) {
@@ -902,6 +952,8 @@
 			.addKeyValue("workspace", this.input.workspace().orElse(""))
 			.addKeyValue("table_version", this.input.tableVersion())
 			.addKeyValue("server", (this.currentAttempt != null) ? this.currentAttempt.serverId() : "")
+			.addKeyValue("software_version",
+					(this.currentAttempt != null) ? this.currentAttempt.server().softwareVersion() : "")
 			.addKeyValue("sends", this.sends)
 			.addKeyValue("status", status)
 			.addKeyValue("first_result_ms", this.firstResultMs)
--- a/gateway/src/main/java/io/anvilusher/gateway/wire/RequestHead.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/wire/RequestHead.java
@@ -16,8 +16,10 @@
  * @param tokens sum of the token counts that the request states, bounded; empty if it
  * states none
  * @param resumesStream whether the caller has the beginning of the stream already
+ * @param resumesRequest identifier of the caller's request that brought the first event
+ * of that stream; empty if the caller does not name it
  */
 public record RequestHead(String attemptId, OptionalLong remainingMs, Optional<String> key,
-		Optional<PromptShape> prompt, OptionalLong tokens, boolean resumesStream) {
+		Optional<PromptShape> prompt, OptionalLong tokens, boolean resumesStream, Optional<String> resumesRequest) {
 
 }
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -80,6 +80,17 @@
 	 */
 	SUSPECTED_OF_CRASHES(503, true),
 
+	/**
+	 * The caller takes up a stream, and it is not known which software version began it.
+	 */
+	STREAM_ORIGIN_UNKNOWN(503, true),
+
+	/**
+	 * The caller takes up a stream, and no server runs the software version that began
+	 * it.
+	 */
+	STREAM_VERSION_GONE(503, true),
+
 	/** The request could not be started in time. */
 	QUEUE_TIMEOUT(503, true),
 
