--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -28,10 +28,13 @@
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.placement.PlacementTicket;
+import io.anvilusher.gateway.stream.StreamOrigins;
+import io.anvilusher.gateway.stream.StreamTakeUps;
 import io.anvilusher.gateway.suspect.RequestSubjects;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.WireFormat;
+import io.anvilusher.logic.fleet.VersionHistory;
 import io.anvilusher.logic.placement.EnginePlacer;
 import io.anvilusher.logic.placement.Placement;
 import io.anvilusher.logic.placement.PlacementQueue;
@@ -116,6 +119,10 @@
 
 	private final ServerLimits limits;
 
+	private final StreamOrigins origins;
+
+	private final StreamTakeUps takeUps;
+
 	/**
 	 * Creates a dispatcher.
 	 * @param dependencies the objects that it uses
@@ -138,6 +145,8 @@
 		this.plainPlacer = new PlainPlacer(dataCentre);
 		this.coordination = dependencies.coordination();
 		this.limits = dependencies.limits();
+		this.origins = dependencies.origins();
+		this.takeUps = new StreamTakeUps(this.origins, dependencies.versions(), this.serverRegistry, this.clock);
 		this.limits.onPermits(this::placeAllQueued);
 	}
 
@@ -180,10 +189,13 @@
 		serviceState(request.input().service()).queue().remove(request);
 	}
 
+	private List<TrackedServer> usableServers(GatewayRequest request) {
+		return this.serverRegistry.servers(request.input().service()).stream().filter(request::mayUse).toList();
+	}
+
 	Placement place(GatewayRequest request, Set<String> excludedServers) {
 		return request.limitedPlacement()
-			.place(this.serverRegistry.servers(request.input().service()),
-					(servers) -> place(request, servers, excludedServers), nowMs());
+			.place(usableServers(request), (servers) -> place(request, servers, excludedServers), nowMs());
 	}
 
 	private Placement place(GatewayRequest request, List<TrackedServer> servers, Set<String> excludedServers) {
@@ -212,10 +224,8 @@
 
 	Optional<TrackedServer> placeDecode(GatewayRequest request, TrackedServer source, Set<String> excludedServers) {
 		return request.limitedPlacement()
-			.placeDecode(
-					this.serverRegistry.servers(request.input().service()), (engines) -> this.enginePlacer
-						.placeDecode(source, engines, excludedServers, request.input().route().targetMs(), nowMs()),
-					nowMs());
+			.placeDecode(usableServers(request), (engines) -> this.enginePlacer.placeDecode(source, engines,
+					excludedServers, request.input().route().targetMs(), nowMs()), nowMs());
 	}
 
 	List<TrackedServer> enginesToProbe(GatewayRequest request, Set<String> excludedServers) {
@@ -223,8 +233,7 @@
 			.head()
 			.prompt()
 			.filter((prompt) -> request.input().route().carriesPrompt())
-			.map((prompt) -> this.enginePlacer.enginesToProbe(prompt,
-					this.serverRegistry.servers(request.input().service()), excludedServers, nowMs()))
+			.map((prompt) -> this.enginePlacer.enginesToProbe(prompt, usableServers(request), excludedServers, nowMs()))
 			.orElseGet(List::of);
 	}
 
@@ -400,7 +409,7 @@
 			.filter((server) -> server.health().isUnhealthy(nowMs))
 			.map((server) -> server.server().id())
 			.collect(Collectors.toUnmodifiableSet());
-		OptionalLong nextPermitInMs = nextPermitInMs(service, unhealthy);
+		OptionalLong nextPermitInMs = nextPermitInMs(this.serverRegistry.servers(service), unhealthy);
 		if (nextPermitInMs.isPresent()) {
 			return Math.max(MIN_PERMIT_RETRY_AFTER_MS, nextPermitInMs.getAsLong());
 		}
@@ -412,16 +421,19 @@
 	}
 
 	/**
-	 * Estimates when a request can be sent to one of the servers of a service that run
-	 * complete requests, if all of them have limits.
-	 * @param service name of the service
+	 * Estimates when a request can be sent to one of the servers that run complete
+	 * requests, if all of those that it may be sent to have limits.
+	 * @param request the request
 	 * @param excludedServers ids of servers that are not to be used
 	 * @return the time in ms; empty if a limit is not what keeps the request from a
 	 * server
 	 */
-	OptionalLong nextPermitInMs(String service, Set<String> excludedServers) {
-		return this.limits.nextPermitInMs(this.serverRegistry.servers(service)
-			.stream()
+	OptionalLong nextPermitInMs(GatewayRequest request, Set<String> excludedServers) {
+		return nextPermitInMs(usableServers(request), excludedServers);
+	}
+
+	private OptionalLong nextPermitInMs(List<TrackedServer> servers, Set<String> excludedServers) {
+		return this.limits.nextPermitInMs(servers.stream()
 			.filter((server) -> !server.isPrefill() && !excludedServers.contains(server.server().id()))
 			.toList());
 	}
@@ -508,6 +520,14 @@
 		return this.limits;
 	}
 
+	StreamOrigins origins() {
+		return this.origins;
+	}
+
+	StreamTakeUps takeUps() {
+		return this.takeUps;
+	}
+
 	RunCounter runs() {
 		return this.runs;
 	}
@@ -529,11 +549,14 @@
 	 * @param coordination asks coordinators where to send prompts; empty if this process
 	 * exchanges no messages with other gateways
 	 * @param limits limits that servers name
+	 * @param origins records where streams began
+	 * @param versions software versions of the servers by service and time
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, HttpCalls client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
 			ServerAnnouncements announcements, MonotonicClock clock, XnioExecutor thread, RandomGenerator random,
-			Optional<CoordinatedPlacement> coordination, ServerLimits limits) {
+			Optional<CoordinatedPlacement> coordination, ServerLimits limits, StreamOrigins origins,
+			VersionHistory versions) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.request;
 
 import java.nio.ByteBuffer;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -13,6 +14,9 @@
 import org.slf4j.LoggerFactory;
 
 import io.anvilusher.gateway.placement.PlacementTicket;
+import io.anvilusher.gateway.stream.StreamBinding;
+import io.anvilusher.gateway.stream.StreamOrigin;
+import io.anvilusher.gateway.stream.StreamTakeUp;
 import io.anvilusher.gateway.wire.KvStep;
 import io.anvilusher.gateway.wire.ResponseHead;
 import io.anvilusher.logic.admission.MemoryBudget;
@@ -22,6 +26,7 @@
 import io.anvilusher.logic.placement.coordinated.PlacementDecision;
 import io.anvilusher.logic.request.EventSplitter;
 import io.anvilusher.logic.request.SendLedger;
+import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.request.AttemptFailure;
 import io.anvilusher.model.request.PromptShape;
 import io.anvilusher.model.request.RefusalReason;
@@ -64,6 +69,10 @@
 
 	private static final long NOT_WAITING = -1;
 
+	/** The same request would be refused again for these reasons. */
+	private static final Set<RefusalReason> FINAL_REASONS = EnumSet.of(RefusalReason.SUSPECTED_OF_CRASHES,
+			RefusalReason.STREAM_ORIGIN_UNKNOWN, RefusalReason.STREAM_VERSION_GONE);
+
 	private final Dispatcher dispatcher;
 
 	private final RequestInput input;
@@ -107,6 +116,8 @@
 
 	private boolean streamStarted;
 
+	private Optional<StreamBinding> binding = Optional.empty();
+
 	private boolean serverPaused;
 
 	private boolean done;
@@ -161,17 +172,58 @@
 		return this.limitedPlacement;
 	}
 
+	/**
+	 * Returns whether the request may be sent to a server.
+	 * @param server the server
+	 * @return false if the stream has begun at a server whose events do not fit to those
+	 * of this one
+	 */
+	boolean mayUse(TrackedServer server) {
+		return this.binding.map((bound) -> bound.allows(server.server())).orElse(true);
+	}
+
 	void start() {
 		guard(() -> {
 			this.response.onCallerDisconnected(() -> guard(this::onCallerDisconnected));
 			this.cancelTimeout = this.dispatcher.schedule(this.input.timeoutAtMs() - this.dispatcher.nowMs(),
 					() -> guard(this::onTimeout));
-			if (!refuseSuspect()) {
-				placeOrEnqueue();
+			if (refuseSuspect()) {
+				return;
 			}
+			if (isTakeUp()) {
+				takeUp();
+				return;
+			}
+			placeOrEnqueue();
 		});
 	}
 
+	private boolean isTakeUp() {
+		return this.input.route().isStream() && this.input.route().resumable() && this.input.head().resumesStream();
+	}
+
+	private void takeUp() {
+		this.dispatcher.takeUps()
+			.decide(this.input.service(), this.input.head().resumesRequest())
+			.whenComplete((decision, failure) -> guard(() -> onTakeUpDecided(decision, failure)));
+	}
+
+	private void onTakeUpDecided(@Nullable StreamTakeUp decision, @Nullable Throwable failure) {
+		if (this.done) {
+			return;
+		}
+		if (decision instanceof StreamTakeUp.Bound bound) {
+			this.binding = Optional.of(bound.binding());
+			placeOrEnqueue();
+		}
+		else if (decision instanceof StreamTakeUp.Refused refused) {
+			refuse(refused.reason());
+		}
+		else {
+			throw new IllegalStateException("no decision about a stream that is taken up", failure);
+		}
+	}
+
 	// An exception ends this request only, even if the step runs within a step of another
 	// one.
 	private void guard(Runnable step) {
@@ -245,9 +297,11 @@
 		return refused;
 	}
 
+	// A coordinator knows nothing of the servers that a stream may go on at.
 	private void placeOrEnqueue() {
 		this.waitingSinceMs = this.dispatcher.nowMs();
-		if (this.dispatcher.askCoordinator(this, this.excludedServers, new TicketListener()).isEmpty()) {
+		if (this.binding.isPresent()
+				|| this.dispatcher.askCoordinator(this, this.excludedServers, new TicketListener()).isEmpty()) {
 			placeWithoutCoordinator();
 		}
 	}
@@ -265,7 +319,7 @@
 		if (tryPlace()) {
 			return;
 		}
-		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers);
+		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this, this.excludedServers);
 		if (nextPermitInMs.orElse(0) > maxQueueTimeMs()) {
 			refuseSaturated(SaturationLimit.SERVER_LIMIT);
 		}
@@ -345,6 +399,14 @@
 			placeWithoutCoordinator();
 			return;
 		}
+		Optional<TrackedServer> unfit = Stream.of(engine, decode)
+			.flatMap(Optional::stream)
+			.filter((assignedEngine) -> !mayUse(assignedEngine))
+			.findFirst();
+		if (unfit.isPresent() || !isPair(engine.get(), decode)) {
+			rejectAssignment(unfit.or(() -> decode).orElse(engine.get()));
+			return;
+		}
 		this.late = assigned.late();
 		List<TrackedServer> lacking = this.limitedPlacement
 			.lacking(Stream.of(engine, decode).flatMap(Optional::stream).toList(), this.dispatcher.nowMs());
@@ -367,7 +429,13 @@
 		}
 	}
 
-	// The coordinator does not know which permits this gateway has.
+	// A coordinator may know an older or newer registration of one of the engines.
+	private static boolean isPair(TrackedServer engine, Optional<TrackedServer> decode) {
+		return decode.map((fetching) -> fetching.server().runsSoftwareOf(engine.server())).orElse(true);
+	}
+
+	// The coordinator does not know which permits this gateway has, nor where the stream
+	// began.
 	private void rejectAssignment(TrackedServer engine) {
 		failTicket(engine.server().id(), true);
 		placeWithoutCoordinator();
@@ -505,7 +573,7 @@
 		if (this.done || tryFetch(fetch, prefill)) {
 			return;
 		}
-		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers);
+		OptionalLong nextPermitInMs = this.dispatcher.nextPermitInMs(this, this.excludedServers);
 		long leftMs = this.input.arrivedAtMs() + this.input.route().targetMs() - this.dispatcher.nowMs();
 		if (nextPermitInMs.isPresent() && nextPermitInMs.getAsLong() < leftMs) {
 			this.dispatcher.schedule(PERMIT_CHECK_INTERVAL_MS, () -> guard(() -> fetchOrWait(fetch, prefill)));
@@ -644,7 +712,7 @@
 		RefusalReason reason = (proposed.notRun() && mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
 		reason = (!proposed.notRun() && !mayHaveRun) ? RefusalReason.NO_SERVER : reason;
 		if (reason == RefusalReason.SERVICE_SATURATED
-				&& this.dispatcher.nextPermitInMs(this.input.service(), this.excludedServers).isPresent()) {
+				&& this.dispatcher.nextPermitInMs(this, this.excludedServers).isPresent()) {
 			this.limitedPlacement.onRefused();
 		}
 		OptionalLong retryAfterMs = retryAfterMs(reason);
@@ -668,7 +736,7 @@
 		if (reason == RefusalReason.SERVICE_SATURATED && this.coordinatorRetryAfterMs.isPresent()) {
 			return this.coordinatorRetryAfterMs;
 		}
-		boolean worthRetrying = reason.notRun() && reason != RefusalReason.SUSPECTED_OF_CRASHES;
+		boolean worthRetrying = reason.notRun() && !FINAL_REASONS.contains(reason);
 		return worthRetrying ? OptionalLong.of(this.dispatcher.retryAfterMs(this.input.service()))
 				: OptionalLong.empty();
 	}
@@ -793,14 +861,26 @@
 		this.lastEventAtMs = nowMs;
 		if (!this.streamStarted && this.streamHead != null) {
 			this.streamStarted = true;
+			this.binding = this.binding.or(() -> Optional.of(StreamBinding.to(attempt.server())));
 			this.response.beginStream(this.streamHead.status(), this.streamHead.callerHeaders());
 		}
 		this.response.sendEvents(completeEvents, () -> guard(this::onEventsWritten));
+		if (first) {
+			recordOrigin(attempt.server());
+		}
 		if (this.response.pendingBytes() > MAX_PENDING_BYTES) {
 			pauseServer(attempt);
 		}
 	}
 
+	private void recordOrigin(RegisteredServer server) {
+		String requestId = this.input.head().attemptId();
+		if (this.input.route().resumable() && !this.input.head().resumesStream() && !requestId.isEmpty()
+				&& !server.softwareVersion().isEmpty()) {
+			this.dispatcher.origins().onBegun(requestId, new StreamOrigin(server.service(), server.softwareVersion()));
+		}
+	}
+
 	private void onEventsWritten() {
 		accountForStream();
 		if (this.serverPaused && this.response.pendingBytes() < MAX_PENDING_BYTES / 2) {
@@ -877,6 +957,8 @@
 			.addKeyValue("workspace", this.input.workspace().orElse(""))
 			.addKeyValue("table_version", this.input.tableVersion())
 			.addKeyValue("server", (this.currentAttempt != null) ? this.currentAttempt.serverId() : "")
+			.addKeyValue("software_version",
+					(this.currentAttempt != null) ? this.currentAttempt.server().softwareVersion() : "")
 			.addKeyValue("sends", this.ledger.size())
 			.addKeyValue("attempts", this.ledger.describe())
 			.addKeyValue("status", status)
