Logs of the store tell when it returned from an older copy

A store that returns from an older copy has lost its newest records and gives out their offsets again. A reader that goes on at its offset skips what was written since, and a writer does not notice that its records are gone. All responses name the era of the store, which then rises.

StoreLog.storeEra returns the highest era that a response to a call of the log named.

Tables and the usage log do not use it yet.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/StoreLog.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/StoreLog.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.control;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -24,6 +25,15 @@
 	 */
 	CompletableFuture<ReadResult> read(long fromOffset, long waitMs);
 
+	/**
+	 * Returns the era of the store, which rises each time that the store returns from an
+	 * older copy: the newest records are then lost, and their offsets are given out
+	 * again. May be called on any thread.
+	 * @return the highest era that a response to a call of this log named, or empty if
+	 * none did
+	 */
+	OptionalLong storeEra();
+
 	/**
 	 * The result of a read.
 	 */
