Where streams began is shared by all gateways and outlives them

Callers that take a stream up after all gateways were killed may reach one that knows nothing of it, and no gateway knew the software version at which a stream of another one began.

Gateways now write the streams that begin, with service and software version, to a log of the store: one record every 200 ms while streams begin, and none otherwise. The log is read only for a stream that the gateway does not know; all searches share one read. Without the store a search ends after 400 ms. After the store has returned from an older copy, each gateway writes its own streams again and reads the log anew.

SharedStreamOrigins is created in Gateway and not used yet by the path of a request, so callers see no difference.

Tests: SharedStreamOriginsTests (47, one thread and a stand-in of the log) and StreamOriginsAtStoreTests (5, over the platform's protocol) passed together with StoreTopicTests and PlatformLayerTests; GatewayControlTests, OddStoreTests and StoreTopicTests passed on this code.

--- a/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/DeploymentAdapter.java
@@ -65,6 +65,12 @@
 	 */
 	StoreLog usageLog();
 
+	/**
+	 * Returns the log through which gateways share where streams began.
+	 * @return the log
+	 */
+	StoreLog streamLog();
+
 	/**
 	 * Returns the table of the store through which gateways share crashes of servers and
 	 * the prompt parts and requests that cause them.
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -58,6 +58,9 @@
 import io.anvilusher.gateway.request.DirectMemoryMonitor;
 import io.anvilusher.gateway.request.Dispatcher;
 import io.anvilusher.gateway.request.TrafficLagMonitor;
+import io.anvilusher.gateway.stream.OriginSettings;
+import io.anvilusher.gateway.stream.SharedStreamOrigins;
+import io.anvilusher.gateway.stream.StreamOrigins;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.logic.admission.MemoryBudget;
 import io.anvilusher.logic.fleet.LapseGuard;
@@ -66,6 +69,7 @@
 import io.anvilusher.logic.usage.WallClockEstimator;
 import io.anvilusher.model.fleet.RegisteredServer;
 import io.anvilusher.model.routing.EngineProfile;
+import io.anvilusher.model.routing.Route;
 import io.anvilusher.model.routing.RoutingTable;
 import io.anvilusher.model.routing.ServiceProfile;
 
@@ -130,6 +134,15 @@
 	/** Capacity of an engine's KV cache if the routing table does not say. */
 	private static final long DEFAULT_KV_CAPACITY_TOKENS = 500_000;
 
+	/**
+	 * Interval at which streams that have begun are written to the store; those of the
+	 * last interval are lost with the process.
+	 */
+	private static final long STREAM_ORIGIN_INTERVAL_MS = 200;
+
+	/** Fraction of the heap for the streams that have begun. */
+	private static final double STREAM_ORIGIN_HEAP_SHARE = 0.04;
+
 	/** Longest wait for the traffic thread to finish what it has read. */
 	private static final long LAST_PASS_MS = 200;
 
@@ -167,6 +180,8 @@
 
 	private final SharedAllowances allowances;
 
+	private final StreamOrigins streamOrigins;
+
 	private final CoordinatedPlacement coordination;
 
 	private final PlacementService placementService;
@@ -240,6 +255,9 @@
 				this::kvCapacityTokens);
 		this.allowances = new SharedAllowances(settings.allowance(), peerChannel, thread, this.clock, this.meters,
 				random);
+		this.streamOrigins = new SharedStreamOrigins(this.adapter.streamLog(), this.context, thread,
+				new OriginSettings(STREAM_ORIGIN_INTERVAL_MS, this::longestStreamMs,
+						(long) (STREAM_ORIGIN_HEAP_SHARE * Runtime.getRuntime().maxMemory())));
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
@@ -258,6 +276,16 @@
 			.orElse(DEFAULT_KV_CAPACITY_TOKENS);
 	}
 
+	private long longestStreamMs() {
+		return this.routes.get()
+			.stream()
+			.flatMap((index) -> index.table().routes().stream())
+			.filter(Route::isStream)
+			.mapToLong(Route::timeoutMs)
+			.max()
+			.orElse(0);
+	}
+
 	private ManagedPeerChannel createPeerChannel() {
 		GatewaySettings.PeerSettings peers = this.settings.peers();
 		return peers.address()
--- /dev/null
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/ControlTasks.java
@@ -0,0 +1,16 @@
+package io.anvilusher.gateway.stream;
+
+/**
+ * Runs tasks on the control thread.
+ */
+@FunctionalInterface
+interface ControlTasks {
+
+	/**
+	 * Runs a task once.
+	 * @param delayMs delay in ms; 0 to run it as soon as the thread is free
+	 * @param task the task
+	 */
+	void after(long delayMs, Runnable task);
+
+}
