--- a/gateway/src/main/java/io/anvilusher/gateway/stream/StreamOrigins.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/StreamOrigins.java
@@ -4,23 +4,23 @@
 import java.util.concurrent.CompletableFuture;
 
 /**
- * Records where streams began, so that a caller can take one up at the software version
- * that began it. Used on the traffic thread only.
+ * Remembers where streams began. Used on the traffic thread.
  */
 public interface StreamOrigins {
 
 	/**
-	 * Records that the first event of a stream has been passed on to the caller.
-	 * @param requestId identifier that the caller gave to the request
-	 * @param origin where the stream began
+	 * Records that a stream began. Returns at once; the first event need not wait for the
+	 * record.
+	 * @param requestId identifier of the request whose response brought the first event
+	 * @param origin where it began
 	 */
 	void onBegun(String requestId, StreamOrigin origin);
 
 	/**
-	 * Looks up where a stream began.
-	 * @param requestId identifier of the request that brought the first event
+	 * Finds where a stream began.
+	 * @param requestId identifier of the request whose response brought the first event
 	 * @return the origin, or empty if it is not known; completes on the traffic thread,
-	 * possibly within this call, and never exceptionally
+	 * possibly at once, and never exceptionally
 	 */
 	CompletableFuture<Optional<StreamOrigin>> find(String requestId);
 
--- a/gateway/src/test/java/io/anvilusher/gateway/request/RequestLifeSchedule.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/request/RequestLifeSchedule.java
@@ -40,9 +40,12 @@
 import io.anvilusher.gateway.peer.Peer;
 import io.anvilusher.gateway.peer.PeerRoster;
 import io.anvilusher.gateway.placement.PlacementClient;
+import io.anvilusher.gateway.stream.StreamOrigin;
+import io.anvilusher.gateway.stream.StreamOrigins;
 import io.anvilusher.gateway.suspect.SuspectGuard;
 import io.anvilusher.gateway.wire.RequestHead;
 import io.anvilusher.logic.admission.MemoryBudget;
+import io.anvilusher.logic.fleet.VersionHistory;
 import io.anvilusher.logic.placement.TrackedServer;
 import io.anvilusher.model.fleet.EngineRole;
 import io.anvilusher.model.fleet.RegisteredServer;
@@ -117,8 +120,8 @@
 						this.thread, new EmptyTable(), context, this.thread::nowMs, new Random(1)),
 				METERS, (workspace) -> {
 				}, new ServerAnnouncements(this.registry, METERS, this.thread::nowMs, this.limits), this.thread::nowMs,
-				this.thread, new Random(1), Optional.of(coordination), this.limits), "a",
-				new Dispatcher.RetryLimits(10, 10_000));
+				this.thread, new Random(1), Optional.of(coordination), this.limits, new NoStreamOrigins(),
+				new VersionHistory(1_000)), "a", new Dispatcher.RetryLimits(10, 10_000));
 	}
 
 	/**
@@ -171,7 +174,7 @@
 		HttpServerExchange exchange = new HttpServerExchange(null, -1);
 		exchange.setRequestMethod(Methods.POST).setRequestURI("/path").setQueryString("");
 		RequestHead head = new RequestHead(ModelWireFormat.REQUEST_ID, OptionalLong.empty(), Optional.empty(),
-				this.scenario.prompt(), OptionalLong.empty(), false);
+				this.scenario.prompt(), OptionalLong.empty(), false, Optional.empty());
 		this.dispatcher.start(new RequestInput(exchange, head, new byte[64], this.scenario.route(),
 				LifeScenario.SERVICE, Optional.of("w"), 1, this.thread.nowMs(), RequestCharge.NONE), this.caller);
 	}
@@ -561,4 +564,20 @@
 
 	}
 
+	/**
+	 * The request of the schedule takes up no stream.
+	 */
+	private static final class NoStreamOrigins implements StreamOrigins {
+
+		@Override
+		public void onBegun(String requestId, StreamOrigin origin) {
+		}
+
+		@Override
+		public CompletableFuture<Optional<StreamOrigin>> find(String requestId) {
+			return CompletableFuture.completedFuture(Optional.empty());
+		}
+
+	}
+
 }
