A stream goes on at an engine only if it has not restarted since it registered

Cause: Expect-Instance names the id only, and an entry can be older than the restart, for seconds while the store is away. Before a send that is bound to a version, the gateway now asks the engine for its report, and sends only if it shows the start that its registration shows; else, or without a report within 400 ms, another server is chosen. Servers whose entry names no start, and servers that are no engines, cannot be asked and are sent to as before.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/EngineControlClient.java
@@ -47,8 +47,9 @@
 	 * @param changing whether it is carrying out an order
 	 * @param ordersAccepted number of orders accepted since its start
 	 * @param requests number of running and queued requests
+	 * @param startedAtMs time at which it started, in ms since 1970; 0 if it does not say
 	 */
-	record EngineReport(EngineRole role, boolean changing, long ordersAccepted, int requests) {
+	record EngineReport(EngineRole role, boolean changing, long ordersAccepted, int requests, long startedAtMs) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -72,6 +72,12 @@
 	/** Shortest Retry-After of a request that found no permit: a few round trips. */
 	private static final long MIN_PERMIT_RETRY_AFTER_MS = 50;
 
+	/**
+	 * Longest wait for the report that shows whether a server has restarted. The caller
+	 * of the stream waits as well.
+	 */
+	private static final long RESTART_CHECK_TIMEOUT_MS = 400;
+
 	/** Timeout for the response to a call that frees a KV cache. */
 	private static final long FREE_KV_CACHE_TIMEOUT_MS = 1_000;
 
@@ -245,6 +251,45 @@
 		});
 	}
 
+	/**
+	 * Returns whether a server can be asked whether it has restarted.
+	 * @param server the server
+	 * @return false if its registration names no start, or it is no engine and gives no
+	 * reports
+	 */
+	boolean canCheckRestart(TrackedServer server) {
+		return server.server().startedAtMs() != 0 && server.server().role().isPresent();
+	}
+
+	/**
+	 * Asks a server whether it is still the incarnation that its registration shows. The
+	 * registration may be older than a restart with other software.
+	 * @param server the server
+	 * @return whether it reports the same start and still takes requests; false if it
+	 * does not respond in time. Completes on the traffic thread, never exceptionally
+	 */
+	CompletableFuture<Boolean> isUnchanged(TrackedServer server) {
+		this.limits.countCall(server.server().address());
+		CompletableFuture<Optional<EngineControlClient.EngineReport>> report = this.engineControl
+			.report(server.server())
+			.exceptionally((failure) -> Optional.empty());
+		Runnable cancelTimeout = schedule(RESTART_CHECK_TIMEOUT_MS, () -> report.complete(Optional.empty()));
+		CompletableFuture<Boolean> unchanged = new CompletableFuture<>();
+		report.thenAccept((answer) -> {
+			cancelTimeout.run();
+			this.thread.execute(() -> unchanged.complete(isUnchanged(server, answer)));
+		});
+		return unchanged;
+	}
+
+	private boolean isUnchanged(TrackedServer server, Optional<EngineControlClient.EngineReport> report) {
+		String outcome = report
+			.map((present) -> (present.startedAtMs() == server.server().startedAtMs()) ? "same" : "restarted")
+			.orElse("none");
+		this.meters.counter("anvilusher.stream.server.checks", "outcome", outcome).increment();
+		return outcome.equals("same") && isAccepting(server);
+	}
+
 	// An engine whose reports take long is not asked again meanwhile.
 	private CompletableFuture<Void> probe(TrackedServer engine) {
 		CompletableFuture<Void> running = this.runningProbes.get(engine);
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -508,6 +508,39 @@
 
 	// Called only with a permit, or for a server without a limit.
 	private void send(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
+		if (this.binding.isEmpty() || !this.dispatcher.canCheckRestart(server)) {
+			sendNow(server, uncachedTokens, step, prefill);
+			return;
+		}
+		this.dispatcher.isUnchanged(server).thenAccept((unchanged) -> guard(() -> {
+			if (this.done) {
+				return;
+			}
+			if (unchanged) {
+				sendNow(server, uncachedTokens, step, prefill);
+			}
+			else {
+				onServerChanged(server, step, prefill);
+			}
+		}));
+	}
+
+	private void onServerChanged(TrackedServer server, KvStep step, @Nullable ServerAttempt prefill) {
+		LOGGER.atInfo()
+			.addKeyValue("request_id", this.input.head().attemptId())
+			.addKeyValue("server", server.server().id())
+			.addKeyValue("software_version", server.server().softwareVersion())
+			.log("Server does not show the start that it registered with; the stream goes on elsewhere");
+		this.excludedServers.add(server.server().id());
+		if (step instanceof KvStep.Fetch fetch && prefill != null) {
+			fetchOrWait(fetch, prefill);
+		}
+		else {
+			placeOrEnqueue();
+		}
+	}
+
+	private void sendNow(TrackedServer server, int uncachedTokens, KvStep step, @Nullable ServerAttempt prefill) {
 		this.sends++;
 		stopWaiting();
 		ServerAttempt next = new ServerAttempt(this.dispatcher, this, server, uncachedTokens, step, prefill);
