--- a/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/fleet/ServerRegistry.java
@@ -103,8 +103,9 @@
 	private TrackedServer trackedServer(RegisteredServer server) {
 		TrackedServer existing = this.trackedById.get(server.id());
 		if (existing == null || !existing.server().isSameIncarnation(server)) {
-			LOGGER.info("Server {} of service {} at {} is known, draining={}, role={}", server.id(), server.service(),
-					server.address(), server.draining(), server.role());
+			LOGGER.info("Server {} of service {} at {} is known, draining={}, role={}, software_version={}",
+					server.id(), server.service(), server.address(), server.draining(), server.role(),
+					server.softwareVersion());
 			return goneServer(server).orElseGet(() -> new TrackedServer(server));
 		}
 		if (existing.server().draining() != server.draining() || !existing.server().role().equals(server.role())) {
