Keep most engines of each software version for decoding while there are several

The roles were planned for the service as a whole. Fix: while a service has several versions, three quarters of the engines of each have the decode role, or get it by an order. With one version nothing changes. RolePlannerTests#eachOfTwoVersionsKeepsMostOfItsEnginesForDecoding.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/RoleController.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/RoleController.java
@@ -144,8 +144,8 @@
 		Optional<EngineRole> pendingRole = this.pendingOrders.onReport(engine.id(), report.role(), report.changing(),
 				nowMs);
 		boolean changing = report.changing() || pendingRole.isPresent() || this.onHoldUntilMs.containsKey(engine.id());
-		return new EngineState(engine.id(), engine.dataCentre(), report.role(), pendingRole, engine.slots(),
-				report.requests(), changing, report.ordersAccepted() > 0);
+		return new EngineState(engine.id(), engine.dataCentre(), engine.softwareVersion(), report.role(), pendingRole,
+				engine.slots(), report.requests(), changing, report.ordersAccepted() > 0);
 	}
 
 	private void order(ObservedEngine target, RoleChange change, int engines) {
--- a/logic/src/main/java/io/anvilusher/logic/role/EngineState.java
+++ b/logic/src/main/java/io/anvilusher/logic/role/EngineState.java
@@ -9,6 +9,7 @@
  *
  * @param id id of the engine
  * @param dataCentre data centre of the engine
+ * @param softwareVersion version of its software
  * @param role current role
  * @param pendingRole role of an order that the engine has accepted, or may still accept,
  * and that its reports do not show yet
@@ -18,8 +19,8 @@
  * one or the outcome of its last one is unknown
  * @param changedByOrder whether the engine has accepted orders since its start
  */
-public record EngineState(String id, String dataCentre, EngineRole role, Optional<EngineRole> pendingRole, int slots,
-		int requests, boolean changing, boolean changedByOrder) {
+public record EngineState(String id, String dataCentre, String softwareVersion, EngineRole role,
+		Optional<EngineRole> pendingRole, int slots, int requests, boolean changing, boolean changedByOrder) {
 
 	/**
 	 * Returns whether the engine certainly keeps or gets the decode role. An engine whose
--- a/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
+++ b/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
@@ -1,5 +1,6 @@
 package io.anvilusher.logic.role;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
@@ -39,6 +40,13 @@
 	 */
 	static final double MIN_DECODE_SHARE = 1.0 / 3;
 
+	/**
+	 * Smallest share of the engines of each software version that have the decode role,
+	 * while a service has several versions. A stream can go on only at a decode engine of
+	 * its version, also after some of them have crashed.
+	 */
+	static final double MIN_DECODE_SHARE_OF_VERSION = 3.0 / 4;
+
 	/**
 	 * More decode engines are needed if the peak load exceeds this share of their slots.
 	 * It is the share up to which short prompts fill an engine before the next one is
@@ -73,6 +81,10 @@
 	 */
 	public List<RoleChange> plan(List<EngineState> engines, long nowMs) {
 		observe(engines, nowMs);
+		List<RoleChange> forVersions = changesForVersions(engines);
+		if (!forVersions.isEmpty()) {
+			return forVersions;
+		}
 		int decode = (int) engines.stream().filter(EngineState::isSureToDecode).count();
 		int floor = minDecodeEngines(engines);
 		if (decode < floor) {
@@ -102,6 +114,20 @@
 		this.peakRequests = Math.max(this.peakRequests, decodeEngines(engines).mapToInt(EngineState::requests).sum());
 	}
 
+	private static List<RoleChange> changesForVersions(List<EngineState> engines) {
+		Collection<List<EngineState>> versions = engines.stream()
+			.collect(Collectors.groupingBy(EngineState::softwareVersion))
+			.values();
+		return (versions.size() < 2) ? List.of()
+				: versions.stream().flatMap((version) -> changesForVersion(version).stream()).toList();
+	}
+
+	private static List<RoleChange> changesForVersion(List<EngineState> engines) {
+		int decode = (int) engines.stream().filter(EngineState::isSureToDecode).count();
+		int floor = (int) Math.ceil(MIN_DECODE_SHARE_OF_VERSION * engines.size());
+		return selectChanges(engines, EngineRole.DECODE, floor - decode - changingTo(engines, EngineRole.DECODE));
+	}
+
 	private static Stream<EngineState> decodeEngines(List<EngineState> engines) {
 		return engines.stream().filter((engine) -> engine.role() == EngineRole.DECODE);
 	}
--- a/logic/src/test/java/io/anvilusher/logic/role/RolePlannerTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/role/RolePlannerTests.java
@@ -29,7 +29,7 @@
 	}
 
 	private static EngineState engine(String id, EngineRole role, int slots, int requests, boolean changedByOrder) {
-		return new EngineState(id, "dc" + Integer.parseInt(id.substring(1)) % 3, role, Optional.empty(), slots,
+		return new EngineState(id, "dc" + Integer.parseInt(id.substring(1)) % 3, "v1", role, Optional.empty(), slots,
 				requests, false, changedByOrder);
 	}
 
@@ -88,8 +88,8 @@
 	@Test
 	public void enginesReturnToDecodeOneAtATime() {
 		List<EngineState> engines = new ArrayList<>(fleet(3, 4, 16, 15));
-		engines
-			.add(new EngineState("p3", "dc0", EngineRole.PREFILL, Optional.of(EngineRole.DECODE), 16, 0, true, true));
+		engines.add(new EngineState("p3", "dc0", "v1", EngineRole.PREFILL, Optional.of(EngineRole.DECODE), 16, 0, true,
+				true));
 		engines.add(engine("p4", EngineRole.PREFILL, 16, 0, true));
 		assertEquals(new RolePlanner().plan(engines, 0), List.of());
 	}
@@ -135,4 +135,28 @@
 		assertTrue(replay.decodeCount() >= 5, "decode count " + replay.decodeCount());
 	}
 
+	private static EngineState ofVersion(EngineState engine, String version) {
+		return new EngineState(engine.id(), engine.dataCentre(), version, engine.role(), engine.pendingRole(),
+				engine.slots(), engine.requests(), engine.changing(), engine.changedByOrder());
+	}
+
+	/**
+	 * Guards against streams that cannot go on because two engines of their version
+	 * crashed.
+	 */
+	@Test
+	public void eachOfTwoVersionsKeepsMostOfItsEnginesForDecoding() {
+		List<EngineState> engines = new ArrayList<>();
+		for (int index = 0; index < 8; index++) {
+			EngineRole role = (index % 2 == 0) ? EngineRole.DECODE : EngineRole.PREFILL;
+			engines.add(ofVersion(engine("e" + index, role, 64, 1, false), (index < 4) ? "v1" : "v2"));
+		}
+		List<RoleChange> changes = new RolePlanner().plan(engines, 0);
+		assertEquals(changes.stream().map(RoleChange::role).distinct().toList(), List.of(EngineRole.DECODE));
+		assertEquals(changes.stream().map(RoleChange::engineId).filter((id) -> id.compareTo("e4") < 0).count(), 1);
+		assertEquals(changes.size(), 2);
+		List<EngineState> oneVersion = engines.stream().map((engine) -> ofVersion(engine, "v1")).toList();
+		assertEquals(new RolePlanner().plan(oneVersion, 0), List.of());
+	}
+
 }
--- a/logic/src/test/java/io/anvilusher/logic/role/RoleReplay.java
+++ b/logic/src/test/java/io/anvilusher/logic/role/RoleReplay.java
@@ -162,7 +162,7 @@
 				.reduce((first, second) -> second)
 				.orElseThrow();
 			var pendingRole = RoleReplay.this.pendingOrders.onReport(this.id, report.role(), report.changing(), nowMs);
-			return new EngineState(this.id, this.dataCentre, report.role(), pendingRole, RoleReplay.this.slots, 0,
+			return new EngineState(this.id, this.dataCentre, "v1", report.role(), pendingRole, RoleReplay.this.slots, 0,
 					report.changing() || pendingRole.isPresent(), false);
 		}
 
