A response without length is whole only once the upload is written

Callers saw: a server answers an upload of 4 MB with a 200 that has no length, sends a part, ends the connection and resets it while the rest of the upload is still being written; the part came as a whole response, and a stream got its last chunk.

Cause: after the end (FIN) of a connection, the operating system reports a reset only to the writer; reading gives an ordinary end. The client took the end that it read for the end of the response and closed the connection without asking the writer.

Why this works: the end of a response without length now waits until the request body is written. A reset fails that write, and with it the call. A server that ends its side and reads on is answered as before, a moment later; one that never reads the rest ends by the deadline. Responses with a length, in chunks or without a body do not wait.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -61,6 +61,14 @@
 
 	private boolean requestBodyWritten;
 
+	private boolean responseFramed;
+
+	/**
+	 * Whether the connection has ended a response without length before the request body
+	 * was written.
+	 */
+	private boolean endAwaitsRequestBody;
+
 	private long keepAliveMs = StreamingHttpClient.DEFAULT_KEEP_ALIVE_MS;
 
 	private boolean ended;
@@ -153,8 +161,8 @@
 			}
 			sink.shutdownWrites();
 			if (sink.flush()) {
-				this.requestBodyWritten = true;
 				sink.suspendWrites();
+				onRequestBodyWritten();
 			}
 			else {
 				sink.resumeWrites();
@@ -165,6 +173,13 @@
 		}
 	}
 
+	private void onRequestBodyWritten() {
+		this.requestBodyWritten = true;
+		if (this.endAwaitsRequestBody) {
+			endCall();
+		}
+	}
+
 	private void awaitResponse(ClientExchange exchange) {
 		exchange.setResponseListener(new ClientCallback<>() {
 
@@ -207,9 +222,9 @@
 			values.forEach((value) -> headers.add(new HttpHeader(values.getHeaderName().toString(), value)));
 		}
 		this.keepAliveMs = keepAliveMs(response.getResponseHeaders().getFirst("Keep-Alive"));
-		boolean framed = response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+		this.responseFramed = response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
 				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING) || isBodiless(response);
-		this.listener.onHead(status, headers, framed);
+		this.listener.onHead(status, headers, this.responseFramed);
 		StreamSourceChannel source = exchange.getResponseChannel();
 		this.responseChannel = source;
 		source.getReadSetter().set((channel) -> guard(() -> readBody(channel)));
@@ -253,7 +268,7 @@
 					return;
 				}
 				if (count < 0) {
-					onBodyEnd();
+					onBodyEnd(source);
 					return;
 				}
 				buffer.flip();
@@ -269,7 +284,21 @@
 		}
 	}
 
-	private void onBodyEnd() {
+	private void onBodyEnd(StreamSourceChannel source) {
+		if (this.ended) {
+			return;
+		}
+		if (!this.responseFramed && !this.requestBodyWritten) {
+			// The operating system reports a reset after the end of the connection only
+			// to the writer.
+			this.endAwaitsRequestBody = true;
+			source.suspendReads();
+			return;
+		}
+		endCall();
+	}
+
+	private void endCall() {
 		if (this.ended) {
 			return;
 		}
