A response must begin with a status line of HTTP/1.1 or HTTP/1.0

Callers saw: a server's bytes that begin with HTTP/9.9, HTTP/2.0 or HTTP/0.9 came as a 200, signed as that server's answer.

Cause: the client's parser takes any such version. It reports HTTP/9.9 as HTTP/1.1: a trial that compared the version it reports still let HTTP/9.9 through in 3 of 3 tests.

Why this works: the bytes themselves are checked as they arrive, before the parser sees them, for each final response and the interim ones before it. A status of 000 and others that HTTP does not know were rejected before, and are now rejected there, too.

Evidence: four methods of StatusLineTests failed in 2 of 2 runs before (the one for streams in 1 of 1, after its check was corrected); all 5 pass now, and OddResponseTests and TransferCodingTests pass.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -15,7 +15,8 @@
  * Reads the responses of one connection to a server. It reports that no data is available
  * after a number of bytes, so that a reader that reads as long as data arrives returns to
  * the event loop. It fails if a server sends a head, or framing of a body, without end:
- * the client's parser keeps such bytes in memory and reports nothing until they end.
+ * the client's parser keeps such bytes in memory and reports nothing until they end. It
+ * also fails if a response does not begin with a status line.
  */
 final class ResponseReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
@@ -47,6 +48,8 @@
 
 	private final MemoryBudget.Account headAccount;
 
+	private final StatusLineChecker statusLine = new StatusLineChecker();
+
 	private int bytesInTurn;
 
 	private boolean headRead;
@@ -65,6 +68,7 @@
 	 * Records that the next request is being sent on the connection.
 	 */
 	void onRequest() {
+		this.statusLine.reset();
 		this.headRead = false;
 		this.overheadBytes = 0;
 		this.bodyBytes = 0;
@@ -100,15 +104,25 @@
 			this.bytesInTurn = 0;
 			return 0;
 		}
+		int startPosition = buffer.position();
 		int count = super.read(buffer);
 		this.bytesInTurn = (count > 0) ? this.bytesInTurn + count : 0;
 		if (count > 0) {
 			this.overheadBytes += count;
 			checkOverhead();
+			checkStatusLine(buffer, startPosition);
 		}
 		return count;
 	}
 
+	private void checkStatusLine(ByteBuffer buffer, int startPosition) throws IOException {
+		for (int index = startPosition; index < buffer.position() && !this.statusLine.isDone(); index++) {
+			if (!this.statusLine.accepts(buffer.get(index))) {
+				throw rejected("a response that does not begin with a status line of HTTP/1.1");
+			}
+		}
+	}
+
 	private void checkOverhead() throws IOException {
 		if (this.overheadBytes > MAX_OVERHEAD_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * this.bodyBytes) {
 			throw rejected("more than " + MAX_OVERHEAD_BYTES + " bytes of response head or framing");
