Tests: partial and malformed responses do not pass entry and sidecar

A raw service stands behind a sidecar and answers bookings of 4 MB before it has read them, in part or with a first line that is no status line.

--- a/verification/src/test/java/io/anvilusher/deployment/Deployment.java
+++ b/verification/src/test/java/io/anvilusher/deployment/Deployment.java
@@ -24,6 +24,7 @@
 import io.anvilusher.standin.EngineStandIn;
 import io.anvilusher.standin.PlainStandIn;
 import io.anvilusher.standin.PlatformStandIn;
+import io.anvilusher.standin.RawStandIn;
 
 /**
  * Starts and controls the product's processes, the stand-ins for backend servers and the
@@ -123,6 +124,12 @@
 		return startSidecar(server, dataCentre, service);
 	}
 
+	/** Starts a service whose answers are chosen byte by byte, and its sidecar. */
+	public JavaProcess startRawService(String server, String dataCentre, String service) throws IOException {
+		this.backends.put(server, start(server + "-backend", "96m", RawStandIn.class.getName(), "0"));
+		return startSidecar(server, dataCentre, service);
+	}
+
 	/** Kills an engine, if it still runs, and starts it again on its port. */
 	public void restartEngine(String server, String... engineArgsAfterPort) throws IOException {
 		JavaProcess old = this.backends.get(server);
