--- a/gateway/src/test/java/io/anvilusher/gateway/request/RequestLifeSchedule.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/request/RequestLifeSchedule.java
@@ -522,7 +522,7 @@
 				.filter((report) -> !report.isDone())
 				.findFirst()
 				.ifPresent((report) -> actions.add(new ScheduleAction("engine reports its load", ScheduleAction.USUAL,
-						() -> report.complete(Optional.of(new EngineReport(EngineRole.DECODE, false, 0, 1))))));
+						() -> report.complete(Optional.of(new EngineReport(EngineRole.DECODE, false, 0, 1, 1))))));
 		}
 
 		@Override
