Follow the store when it returns from an older copy

Offsets, and generations of groups, are then given out again, and Store-Era rises. - A gateway read on at its offset and missed the entries that were written at repeated ones: a server that had left stayed, new ones were not seen. A table is read again when the era changes. - The generation of the duty group is the fencing token, so two holders could use one token, or a lower one follow a higher one. The token now grows with the era, and a holder waits one lease after a change.

--- a/gateway/src/main/java/io/anvilusher/gateway/control/DutyGroup.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/DutyGroup.java
@@ -30,10 +30,33 @@
 	 * @param responded whether the store responded; if not, the other components have no
 	 * meaning
 	 * @param generation generation of the group; grows with every change of its members
-	 * and serves as the fencing token
 	 * @param holder whether this member holds the duties
+	 * @param storeEra era of the store, which rises each time that the store returns from
+	 * an older copy; the generation may fall then
 	 */
-	record Membership(boolean responded, long generation, boolean holder) {
+	record Membership(boolean responded, long generation, boolean holder, long storeEra) {
+
+		/** More than the generations that a group has within one era. */
+		private static final long GENERATIONS_PER_ERA = 1L << 20;
+
+		/**
+		 * Creates a membership at a store that names no era.
+		 * @param responded whether the store responded
+		 * @param generation generation of the group
+		 * @param holder whether this member holds the duties
+		 */
+		public Membership(boolean responded, long generation, boolean holder) {
+			this(responded, generation, holder, 0);
+		}
+
+		/**
+		 * Returns the fencing token of the member's actions. It also grows when the store
+		 * returns from an older copy and gives out generations again.
+		 * @return the token
+		 */
+		public long fencingToken() {
+			return this.storeEra * GENERATIONS_PER_ERA + this.generation;
+		}
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/control/DutyMembership.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/DutyMembership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 import org.slf4j.Logger;
@@ -36,7 +37,11 @@
 
 	private long generation;
 
-	private long fencedGeneration;
+	private long fencingToken;
+
+	private long fencedToken;
+
+	private OptionalLong storeEra = OptionalLong.empty();
 
 	private boolean holder;
 
@@ -99,9 +104,11 @@
 	private void onMembership(DutyGroup.Membership current, long sentAtMs) {
 		this.renewedAtMs = sentAtMs;
 		this.generation = current.generation();
+		this.fencingToken = current.fencingToken();
+		onStoreEra(current.storeEra());
 		if (current.holder() != this.holder) {
 			this.holder = current.holder();
-			this.noActionUntilMs = this.lastActionAtMs + this.leaseMs;
+			this.noActionUntilMs = Math.max(this.noActionUntilMs, this.lastActionAtMs + this.leaseMs);
 			LOGGER.info("Duties: holder={}, generation={}", this.holder, this.generation);
 		}
 		if (this.holder) {
@@ -109,6 +116,16 @@
 		}
 	}
 
+	// After its return from an older copy, the store may name another holder while the
+	// lease of the last one is still valid.
+	private void onStoreEra(long current) {
+		if (this.storeEra.isPresent() && this.storeEra.getAsLong() != current) {
+			this.noActionUntilMs = this.clock.nowMs() + this.leaseMs;
+			LOGGER.info("Duties: the store returned from an older copy; no action for {} ms", this.leaseMs);
+		}
+		this.storeEra = OptionalLong.of(current);
+	}
+
 	/**
 	 * Returns this process's identifier in the group.
 	 * @return identifier of this run of the process
@@ -135,7 +152,7 @@
 	 */
 	boolean mayAct() {
 		long nowMs = this.clock.nowMs();
-		return isHolder() && this.generation > this.fencedGeneration && nowMs - this.renewedAtMs < this.leaseMs
+		return isHolder() && this.fencingToken > this.fencedToken && nowMs - this.renewedAtMs < this.leaseMs
 				&& nowMs > this.noActionUntilMs;
 	}
 
@@ -145,7 +162,7 @@
 	 */
 	long beginAction() {
 		this.lastActionAtMs = this.clock.nowMs();
-		return this.generation;
+		return this.fencingToken;
 	}
 
 	/**
@@ -154,7 +171,7 @@
 	 * @param token the token that was refused
 	 */
 	void onFenced(long token) {
-		this.fencedGeneration = Math.max(this.fencedGeneration, token);
+		this.fencedToken = Math.max(this.fencedToken, token);
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/control/StoreTable.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/StoreTable.java
@@ -1,6 +1,7 @@
 package io.anvilusher.gateway.control;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -32,4 +33,15 @@
 	 */
 	CompletableFuture<TableReadResult> changes(long fromOffset, long waitMs);
 
+	/**
+	 * Returns the era of the store, which rises each time that the store returns from an
+	 * older copy: the newest records are then lost, and their offsets are given out
+	 * again. May be called on any thread.
+	 * @return the highest era that a response to a call of this table named, or empty if
+	 * none did
+	 */
+	default OptionalLong storeEra() {
+		return OptionalLong.empty();
+	}
+
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
 import java.util.function.Consumer;
@@ -50,6 +51,8 @@
 
 	private long nextOffset;
 
+	private OptionalLong readEra = OptionalLong.empty();
+
 	private boolean reachable = true;
 
 	private int failures;
@@ -100,6 +103,7 @@
 			}
 			this.values = readSoFar;
 			this.nextOffset = endOffset;
+			this.readEra = this.table.storeEra();
 			onReachable();
 			LOGGER.info("Table {} was read: {} records, offset {}", this.name, readSoFar.size(), endOffset);
 			this.listener.onRead(this.clock.nowMs());
@@ -110,7 +114,11 @@
 
 	private void readChanges() {
 		onControlThread(this.table.changes(this.nextOffset, this.intervals.waitMs()), (result) -> {
-			if (result instanceof TableReadResult.Changes changes) {
+			if (isOtherEra()) {
+				LOGGER.info("Table {}: the store returned from an older copy; reading all records again", this.name);
+				start();
+			}
+			else if (result instanceof TableReadResult.Changes changes) {
 				onReachable();
 				this.listener.onRead(this.clock.nowMs());
 				this.nextOffset = changes.nextOffset();
@@ -133,6 +141,11 @@
 		});
 	}
 
+	// The offsets of another era are those of other records, so changes may be missed.
+	private boolean isOtherEra() {
+		return !this.table.storeEra().equals(this.readEra);
+	}
+
 	private void retryLater(TableReadResult result, Runnable retry) {
 		String reason = (result instanceof TableReadResult.Unavailable unavailable) ? unavailable.reason()
 				: result.toString();
--- a/gateway/src/test/java/io/anvilusher/gateway/control/DutyMembershipTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/control/DutyMembershipTests.java
@@ -137,4 +137,22 @@
 		assertFalse(mayAct());
 	}
 
+	/**
+	 * Guards against two holders with one fencing token after the store lost its newest
+	 * records.
+	 */
+	@Test
+	public void tokenRisesAndTheHolderWaitsWhenTheStoreReturnsFromAnOlderCopy() {
+		this.membershipAtStore.set(new DutyGroup.Membership(true, 12, true, 1));
+		await(() -> onThread(() -> this.membership.beginAction() > 12));
+		long before = this.membership.beginAction();
+		this.nowMs.addAndGet(2 * LEASE_MS);
+		await(this::mayAct);
+		this.membershipAtStore.set(new DutyGroup.Membership(true, 9, true, 2));
+		await(() -> onThread(() -> this.membership.beginAction() > before));
+		assertFalse(mayAct());
+		this.nowMs.addAndGet(LEASE_MS + 1);
+		await(this::mayAct);
+	}
+
 }
