--- a/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
+++ b/logic/src/main/java/io/anvilusher/logic/role/RolePlanner.java
@@ -41,11 +41,11 @@
 	static final double MIN_DECODE_SHARE = 1.0 / 3;
 
 	/**
-	 * Smallest share of the engines of each software version that have the decode role,
-	 * while a service has several versions. A stream can go on only at a decode engine of
-	 * its version, also after some of them have crashed.
+	 * Smallest number of engines of each software version that have the decode role, as
+	 * far as it has so many, while a service has several versions. A stream can go on
+	 * only at a decode engine of its version, also after one of them has crashed.
 	 */
-	static final double MIN_DECODE_SHARE_OF_VERSION = 3.0 / 4;
+	static final int MIN_DECODE_ENGINES_OF_VERSION = 2;
 
 	/**
 	 * More decode engines are needed if the peak load exceeds this share of their slots.
@@ -124,7 +124,7 @@
 
 	private static List<RoleChange> changesForVersion(List<EngineState> engines) {
 		int decode = (int) engines.stream().filter(EngineState::isSureToDecode).count();
-		int floor = (int) Math.ceil(MIN_DECODE_SHARE_OF_VERSION * engines.size());
+		int floor = Math.min(MIN_DECODE_ENGINES_OF_VERSION, engines.size());
 		return selectChanges(engines, EngineRole.DECODE, floor - decode - changingTo(engines, EngineRole.DECODE));
 	}
 
