Accept streams that are taken up while a gateway is busy

A stream that is not taken up in time is lost with what was served of it. Fix: a gateway refuses take-ups only from a lag of 1 s on.

--- a/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/http/GatewayHttpServer.java
@@ -211,7 +211,7 @@
 			return;
 		}
 		long currentLagMs = this.lagMs.getAsLong();
-		if (!LagAdmission.accepts(currentLagMs)) {
+		if (!LagAdmission.accepts(currentLagMs, head.resumesStream())) {
 			refuse(exchange, head, RefusalReason.GATEWAY_OVERLOADED,
 					OptionalLong.of(LagAdmission.retryAfterMs(currentLagMs, this.random.nextDouble())));
 			return;
--- a/logic/src/main/java/io/anvilusher/logic/admission/LagAdmission.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/LagAdmission.java
@@ -13,6 +13,13 @@
 	/** Lag from which on new requests are refused. */
 	static final long MAX_LAG_MS = 100;
 
+	/**
+	 * Lag from which on also streams that their callers take up are refused: half of the
+	 * time for which a caller waits for an event. They are few, and what was served of
+	 * them is lost with them.
+	 */
+	static final long MAX_LAG_OF_TAKE_UP_MS = 1_000;
+
 	/** Shortest time after which a refused caller should return: a few passes. */
 	static final long MIN_RETRY_AFTER_MS = 150;
 
@@ -25,10 +32,11 @@
 	/**
 	 * Returns whether a request is accepted.
 	 * @param lagMs time by which the traffic thread is late
+	 * @param takesUpStream whether the caller has the beginning of the stream already
 	 * @return whether the request is accepted
 	 */
-	public static boolean accepts(long lagMs) {
-		return lagMs < MAX_LAG_MS;
+	public static boolean accepts(long lagMs, boolean takesUpStream) {
+		return lagMs < (takesUpStream ? MAX_LAG_OF_TAKE_UP_MS : MAX_LAG_MS);
 	}
 
 	/**
