--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -118,7 +118,7 @@
 	private void checkStatusLine(ByteBuffer buffer, int startPosition) throws IOException {
 		for (int index = startPosition; index < buffer.position() && !this.statusLine.isDone(); index++) {
 			if (!this.statusLine.accepts(buffer.get(index))) {
-				throw rejected("a response that does not begin with a status line of HTTP/1.1");
+				throw rejected("a response that does not begin with a status line of HTTP/1.0 or HTTP/1.1");
 			}
 		}
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -91,6 +91,9 @@
 				retryLater(result, this::start);
 				return;
 			}
+			if (afterKey.isEmpty()) {
+				this.readEra = this.table.storeEra();
+			}
 			page.records().forEach((keyedRecord) -> apply(readSoFar, keyedRecord));
 			// The pages are not a consistent snapshot. Changes are therefore read from
 			// the end offset of the first page on, so that none made in the meantime is
@@ -103,7 +106,6 @@
 			}
 			this.values = readSoFar;
 			this.nextOffset = endOffset;
-			this.readEra = this.table.storeEra();
 			onReachable();
 			LOGGER.info("Table {} was read: {} records, offset {}", this.name, readSoFar.size(), endOffset);
 			this.listener.onRead(this.clock.nowMs());
@@ -116,6 +118,7 @@
 		onControlThread(this.table.changes(this.nextOffset, this.intervals.waitMs()), (result) -> {
 			if (isOtherEra()) {
 				LOGGER.info("Table {}: the store returned from an older copy; reading all records again", this.name);
+				this.listener.onHistoryDropped();
 				start();
 			}
 			else if (result instanceof TableReadResult.Changes changes) {
@@ -223,7 +226,8 @@
 		}
 
 		/**
-		 * Called when changes may have been missed, since the store no longer keeps them.
+		 * Called when changes may have been missed, since the store no longer keeps them
+		 * or returned from an older copy.
 		 */
 		default void onHistoryDropped() {
 		}
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -687,8 +687,8 @@
 		this.excludedServers.add(attempt.serverId());
 		boolean continues = !this.streamStarted
 				|| (this.input.route().resumable() && this.eventSplitter.lastId().isPresent());
-		boolean repeatable = this.input.route().isRepeatable() || !this.ledger.mayHaveRun();
-		boolean allowed = continues && repeatable && this.possibleRuns < this.input.route().maxAttempts()
+		boolean mayRepeat = this.input.route().isRepeatable() || !this.ledger.mayHaveRun();
+		boolean allowed = continues && mayRepeat && this.possibleRuns < this.input.route().maxAttempts()
 				&& this.ledger.size() < MAX_SENDS && this.input.timeoutAtMs() - nowMs > MIN_REMAINING_MS;
 		if (!allowed
 				|| (arrived && !this.dispatcher.serviceState(this.input.service()).retryBudget().tryRetry(nowMs))) {
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/BegunStream.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/BegunStream.java
@@ -11,7 +11,7 @@
 
 	/**
 	 * Longest identifier that is recorded, with one character for each byte of a header.
-	 * Identifiers are chosen by callers.
+	 * Callers may send longer ones.
 	 */
 	private static final int MAX_ID_CHARACTERS = 128;
 
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/StreamTakeUps.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/StreamTakeUps.java
@@ -55,9 +55,9 @@
 	}
 
 	private StreamTakeUp bind(String service, StreamOrigin origin) {
-		boolean left = origin.service().equals(service)
+		boolean served = origin.service().equals(service)
 				&& this.serverRegistry.isRegistered(service, origin.softwareVersion());
-		return left ? bindTo(origin.softwareVersion()) : new StreamTakeUp.Refused(RefusalReason.STREAM_VERSION_GONE);
+		return served ? bindTo(origin.softwareVersion()) : new StreamTakeUp.Refused(RefusalReason.STREAM_VERSION_GONE);
 	}
 
 	private static StreamTakeUp bindToOnly(Optional<String> version) {
--- a/logic/src/main/java/io/anvilusher/logic/admission/LagAdmission.java
+++ b/logic/src/main/java/io/anvilusher/logic/admission/LagAdmission.java
@@ -14,9 +14,8 @@
 	static final long MAX_LAG_MS = 100;
 
 	/**
-	 * Lag from which on also streams that their callers take up are refused: half of the
-	 * time for which a caller waits for an event. They are few, and what was served of
-	 * them is lost with them.
+	 * Lag from which on streams that their callers take up are refused as well. They are
+	 * few, and what was served of them is lost with them.
 	 */
 	static final long MAX_LAG_OF_TAKE_UP_MS = 1_000;
 
