Read the registrations before concluding which version began a stream

Cause: a conclusion from not knowing. A stream that is not recorded was bound to the only version that the gateway knew, as long as its last read of the registrations was younger than twice the usual time between two reads, which is seconds. A search that the store did not answer for 400 ms ended like one that had read the log to its end. A take-up without Resumes was bound whatever the age of the list.

Change: TableFollower.catchUp() reads the changes with a call that begins after the take-up has arrived. The stream began before that, at a server that was registered before, and the store's answers are linearizable, so no clock is needed: a machine that stands still, or a read in flight across a pause, proves nothing and harms nothing. Without such a read the take-up is refused with a Retry-After (stream_origin_unavailable). OriginSearch keeps "the search failed" apart from "not recorded". A stream whose version is not known here yet is looked for once more before it is refused for good. The decision is logged ("Stream is taken up") and counted with its inputs.

TableReadResult.Changes names the end of the table. SharedStreamOriginsTests and StreamOriginsAtStoreTests now tell the two outcomes apart where both were "empty".

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -191,6 +191,8 @@
 
 	private final StreamOrigins streamOrigins;
 
+	private final TableFollower<RegisteredServer> serverTable;
+
 	private final CoordinatedPlacement coordination;
 
 	private final PlacementService placementService;
@@ -242,6 +244,9 @@
 					runCounter, new UsageReporter.Dependencies(this.adapter.usageLog(), reports), this.control,
 					this.clock, timeOfDayMs));
 		this.context = new ControlContext(this.control, this.clock, this.meters);
+		this.serverTable = new TableFollower<>("servers", this.adapter.servers(), this::readServer,
+				new ServerListener(), this.context,
+				new TableFollower.PollIntervals(serversDelayMs(), serversWaitMs(), MAX_RETRY_DELAY_MS));
 		ManagedPeerChannel peerChannel = createPeerChannel();
 		ServerLimits limits = new SharedServerLimits(peerChannel, thread, this.clock, new LimitMeters(this.meters),
 				() -> this.serversInUse, random);
@@ -271,7 +276,8 @@
 		Dispatcher dispatcher = new Dispatcher(
 				new Dispatcher.Dependencies(this.serverRegistry, this.adapter.format(), client, engineControl,
 						this.suspects, this.meters, runCounter, announcements, this.clock, thread, random,
-						Optional.of(this.coordination), limits, this.streamOrigins, this.versions),
+						Optional.of(this.coordination), limits, this.streamOrigins, this.versions,
+						this::catchUpServers),
 				settings.dataCentre(), new Dispatcher.RetryLimits(settings.retryRatio(), settings.retryWindowMs()));
 		this.httpServer = new GatewayHttpServer(settings.callerAddress(), settings.clients().callers(), this.worker,
 				this.adapter.format(), dispatcher, this.routes::get, this.clock, this.meters, random,
@@ -364,15 +370,19 @@
 		return server;
 	}
 
+	private CompletableFuture<Boolean> catchUpServers() {
+		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		this.serverTable.catchUp()
+			.thenAccept((upToDate) -> this.worker.getIoThread().execute(() -> result.complete(upToDate)));
+		return result;
+	}
+
 	private void startFollowers() {
-		long waitMs = serversWaitMs();
 		new TableFollower<RoutingTable>("routes", this.adapter.routingTables(), this.adapter::readRoutingTable,
 				this::onRoutingTables, this.context,
-				new TableFollower.PollIntervals(TABLE_DELAY_MS, waitMs, MAX_RETRY_DELAY_MS))
-			.start();
-		new TableFollower<>("servers", this.adapter.servers(), this::readServer, new ServerListener(), this.context,
-				new TableFollower.PollIntervals(serversDelayMs(), waitMs, MAX_RETRY_DELAY_MS))
+				new TableFollower.PollIntervals(TABLE_DELAY_MS, serversWaitMs(), MAX_RETRY_DELAY_MS))
 			.start();
+		this.serverTable.start();
 	}
 
 	private void onRoutingTables(Map<String, RoutingTable> tables) {
--- a/gateway/src/main/java/io/anvilusher/gateway/control/ControlTasks.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/ControlTasks.java
@@ -1,10 +1,10 @@
-package io.anvilusher.gateway.stream;
+package io.anvilusher.gateway.control;
 
 /**
  * Runs tasks on the control thread.
  */
 @FunctionalInterface
-interface ControlTasks {
+public interface ControlTasks {
 
 	/**
 	 * Runs a task once.
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -1,6 +1,8 @@
 package io.anvilusher.gateway.control;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -39,7 +41,7 @@
 
 	private final Listener<T> listener;
 
-	private final ControlThread thread;
+	private final ControlTasks thread;
 
 	private final MonotonicClock clock;
 
@@ -51,12 +53,20 @@
 
 	private long nextOffset;
 
+	private boolean wasRead;
+
 	private OptionalLong readEra = OptionalLong.empty();
 
 	private boolean reachable = true;
 
 	private int failures;
 
+	/** Calls of {@link #catchUp()} that the next read answers. */
+	private final List<CompletableFuture<Boolean>> behind = new ArrayList<>();
+
+	/** Calls of {@link #catchUp()} that the read in flight answers. */
+	private final List<CompletableFuture<Boolean>> catchingUp = new ArrayList<>();
+
 	/**
 	 * Creates a follower.
 	 * @param name name of the table in log lines and metrics
@@ -68,13 +78,29 @@
 	 */
 	public TableFollower(String name, StoreTable table, BiFunction<String, byte[], Optional<T>> decoder,
 			Listener<T> listener, ControlContext context, PollIntervals intervals) {
+		this(name, table, decoder, listener, context.thread()::after, context.clock(), context.meters(), intervals);
+	}
+
+	/**
+	 * Creates a follower on any thread.
+	 * @param name name of the table in log lines and metrics
+	 * @param table the table to follow
+	 * @param decoder decodes the value of a key; empty if the value is not usable
+	 * @param listener is notified of changes
+	 * @param thread runs all tasks, one at a time
+	 * @param clock the monotonic clock
+	 * @param meters metrics
+	 * @param intervals how often the store is polled
+	 */
+	public TableFollower(String name, StoreTable table, BiFunction<String, byte[], Optional<T>> decoder,
+			Listener<T> listener, ControlTasks thread, MonotonicClock clock, Meters meters, PollIntervals intervals) {
 		this.name = name;
 		this.table = table;
 		this.decoder = decoder;
 		this.listener = listener;
-		this.thread = context.thread();
-		this.clock = context.clock();
-		this.meters = context.meters();
+		this.thread = thread;
+		this.clock = clock;
+		this.meters = meters;
 		this.intervals = intervals;
 	}
 
@@ -106,6 +132,7 @@
 			}
 			this.values = readSoFar;
 			this.nextOffset = endOffset;
+			this.wasRead = true;
 			onReachable();
 			LOGGER.info("Table {} was read: {} records, offset {}", this.name, readSoFar.size(), endOffset);
 			this.listener.onRead(this.clock.nowMs());
@@ -114,22 +141,97 @@
 		});
 	}
 
+	/**
+	 * Brings the copy up to date with a read that begins after the call. The age of the
+	 * last read shows nothing about changes made since. May be called on any thread.
+	 * @return whether the copy holds all changes that the store accepted before the call;
+	 * false if the store does not answer or no longer has them. Completes on the control
+	 * thread, never exceptionally
+	 */
+	public CompletableFuture<Boolean> catchUp() {
+		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		this.thread.after(0, () -> {
+			this.behind.add(result);
+			if (this.catchingUp.isEmpty()) {
+				catchUpNow();
+			}
+		});
+		return result;
+	}
+
+	private void catchUpNow() {
+		this.catchingUp.addAll(this.behind);
+		this.behind.clear();
+		if (!this.catchingUp.isEmpty()) {
+			readForCatchUp();
+		}
+	}
+
+	private void readForCatchUp() {
+		if (!this.wasRead) {
+			endCatchUp(false);
+			return;
+		}
+		long fromOffset = this.nextOffset;
+		OptionalLong eraBefore = this.readEra;
+		onControlThread(this.table.changes(fromOffset, 0), (result) -> {
+			if (isOtherEra() || !this.readEra.equals(eraBefore)
+					|| !(result instanceof TableReadResult.Changes changes)) {
+				endCatchUp(false);
+				return;
+			}
+			// Otherwise, a read of the polls has brought the copy further meanwhile.
+			if (fromOffset == this.nextOffset) {
+				onChanges(changes);
+			}
+			if (this.nextOffset >= changes.endOffset()) {
+				endCatchUp(true);
+			}
+			else if (this.nextOffset > fromOffset) {
+				readForCatchUp();
+			}
+			else {
+				endCatchUp(false);
+			}
+		});
+	}
+
+	private void endCatchUp(boolean upToDate) {
+		List<CompletableFuture<Boolean>> ended = List.copyOf(this.catchingUp);
+		this.catchingUp.clear();
+		this.meters.counter("anvilusher.store.catch.ups", "table", this.name, "outcome", upToDate ? "ok" : "failed")
+			.increment();
+		ended.forEach((result) -> result.complete(upToDate));
+		catchUpNow();
+	}
+
+	private void onChanges(TableReadResult.Changes changes) {
+		onReachable();
+		this.listener.onRead(this.clock.nowMs());
+		this.nextOffset = changes.nextOffset();
+		if (!changes.records().isEmpty()) {
+			changes.records().forEach((keyedRecord) -> apply(this.values, keyedRecord));
+			this.listener.onTable(Map.copyOf(this.values));
+		}
+	}
+
 	private void readChanges() {
-		onControlThread(this.table.changes(this.nextOffset, this.intervals.waitMs()), (result) -> {
+		long fromOffset = this.nextOffset;
+		onControlThread(this.table.changes(fromOffset, this.intervals.waitMs()), (result) -> {
 			if (isOtherEra()) {
 				LOGGER.info("Table {}: the store returned from an older copy; reading all records again", this.name);
 				this.listener.onHistoryDropped();
 				start();
 			}
 			else if (result instanceof TableReadResult.Changes changes) {
-				onReachable();
-				this.listener.onRead(this.clock.nowMs());
-				this.nextOffset = changes.nextOffset();
-				if (!changes.records().isEmpty()) {
-					changes.records().forEach((keyedRecord) -> apply(this.values, keyedRecord));
-					this.listener.onTable(Map.copyOf(this.values));
+				if (fromOffset == this.nextOffset) {
+					onChanges(changes);
+					this.thread.after(this.intervals.pauseMs(), this::readChanges);
+				}
+				else {
+					// A call of catchUp() has applied some of these changes already.
+					readChanges();
 				}
-				this.thread.after(this.intervals.pauseMs(), this::readChanges);
 			}
 			else if (result instanceof TableReadResult.HistoryDropped) {
 				LOGGER.info(
@@ -201,7 +303,7 @@
 		pending.exceptionally((failure) -> {
 			LOGGER.error("Table {}: a read failed unexpectedly", this.name, failure);
 			return new TableReadResult.Unavailable(failure.toString());
-		}).thenAccept((result) -> this.thread.run(() -> action.accept(result)));
+		}).thenAccept((result) -> this.thread.after(0, () -> action.accept(result)));
 	}
 
 	/**
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableReadResult.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableReadResult.java
@@ -27,8 +27,10 @@
 	 *
 	 * @param records the records in log order; may be empty
 	 * @param nextOffset offset after the last of them
+	 * @param endOffset offset after the newest record of the table; larger than
+	 * {@code nextOffset} if not all records fitted into the response
 	 */
-	record Changes(List<KeyedRecord> records, long nextOffset) implements TableReadResult {
+	record Changes(List<KeyedRecord> records, long nextOffset, long endOffset) implements TableReadResult {
 
 		public Changes {
 			records = List.copyOf(records);
--- a/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/Dispatcher.java
@@ -25,6 +25,7 @@
 import io.anvilusher.gateway.control.EngineControlClient;
 import io.anvilusher.gateway.control.RunCounter;
 import io.anvilusher.gateway.fleet.ServerAnnouncements;
+import io.anvilusher.gateway.fleet.ServerCatchUp;
 import io.anvilusher.gateway.fleet.ServerRegistry;
 import io.anvilusher.gateway.limit.ServerLimits;
 import io.anvilusher.gateway.placement.PlacementTicket;
@@ -152,7 +153,8 @@
 		this.coordination = dependencies.coordination();
 		this.limits = dependencies.limits();
 		this.origins = dependencies.origins();
-		this.takeUps = new StreamTakeUps(this.origins, dependencies.versions(), this.serverRegistry, this.clock);
+		this.takeUps = new StreamTakeUps(this.origins, dependencies.versions(), this.serverRegistry,
+				dependencies.serverCatchUp(), this.clock, this.meters);
 		this.limits.onPermits(this::placeAllQueued);
 	}
 
@@ -596,12 +598,13 @@
 	 * @param limits limits that servers name
 	 * @param origins records where streams began
 	 * @param versions software versions of the servers by service and time
+	 * @param serverCatchUp brings the servers and their versions up to date
 	 */
 	public record Dependencies(ServerRegistry serverRegistry, WireFormat format, HttpCalls client,
 			EngineControlClient engineControl, SuspectGuard suspects, Meters meters, RunCounter runs,
 			ServerAnnouncements announcements, MonotonicClock clock, XnioExecutor thread, RandomGenerator random,
 			Optional<CoordinatedPlacement> coordination, ServerLimits limits, StreamOrigins origins,
-			VersionHistory versions) {
+			VersionHistory versions, ServerCatchUp serverCatchUp) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/GatewayRequest.java
@@ -204,7 +204,7 @@
 
 	private void takeUp() {
 		this.dispatcher.takeUps()
-			.decide(this.input.service(), this.input.head().resumesRequest())
+			.decide(this.input.head().attemptId(), this.input.service(), this.input.head().resumesRequest())
 			.whenComplete((decision, failure) -> guard(() -> onTakeUpDecided(decision, failure)));
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/OriginReader.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/OriginReader.java
@@ -93,13 +93,13 @@
 	 * @param requestId identifier of the request
 	 * @param result is completed on the traffic thread
 	 */
-	void find(String requestId, CompletableFuture<Optional<StreamOrigin>> result) {
+	void find(String requestId, CompletableFuture<OriginSearch> result) {
 		Search search = new Search(requestId, result, this.threads.clock().nowMs());
 		// A read may have ended since the traffic thread asked the index.
 		Optional<StreamOrigin> known = this.index.find(requestId);
 		if (known.isPresent()) {
 			this.meters.onFoundInStore();
-			complete(search, known);
+			complete(search, new OriginSearch.Found(known.get()));
 			return;
 		}
 		this.waiting.add(search);
@@ -183,7 +183,7 @@
 		else {
 			this.asked.forEach((search) -> {
 				this.meters.onUnknown();
-				complete(search, Optional.empty());
+				complete(search, new OriginSearch.NotRecorded());
 			});
 			this.asked.clear();
 			read();
@@ -220,7 +220,7 @@
 		this.asked.removeAll(found);
 		found.forEach((search) -> {
 			this.meters.onFoundInStore();
-			complete(search, Optional.of(origin));
+			complete(search, new OriginSearch.Found(origin));
 		});
 	}
 
@@ -236,21 +236,21 @@
 		this.waiting.remove(search);
 		this.asked.remove(search);
 		this.meters.onGivenUp();
-		complete(search, Optional.empty());
+		complete(search, new OriginSearch.Unavailable());
 	}
 
-	private void complete(Search search, Optional<StreamOrigin> origin) {
-		this.threads.traffic().execute(() -> search.result().complete(origin));
+	private void complete(Search search, OriginSearch outcome) {
+		this.threads.traffic().execute(() -> search.result().complete(outcome));
 	}
 
 	/**
 	 * A search for a stream.
 	 *
 	 * @param requestId identifier of the request
-	 * @param result gets the origin
+	 * @param result gets the outcome
 	 * @param startedAtMs when it began, by the monotonic clock
 	 */
-	private record Search(String requestId, CompletableFuture<Optional<StreamOrigin>> result, long startedAtMs) {
+	private record Search(String requestId, CompletableFuture<OriginSearch> result, long startedAtMs) {
 
 	}
 
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/OriginThreads.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/OriginThreads.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 
 import io.anvilusher.adapters.process.MonotonicClock;
+import io.anvilusher.gateway.control.ControlTasks;
 
 /**
  * Threads and clock of {@link SharedStreamOrigins}.
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/SharedStreamOrigins.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/SharedStreamOrigins.java
@@ -73,17 +73,17 @@
 	}
 
 	@Override
-	public CompletableFuture<Optional<StreamOrigin>> find(String requestId) {
+	public CompletableFuture<OriginSearch> find(String requestId) {
 		Optional<StreamOrigin> known = this.index.find(requestId);
 		if (known.isPresent()) {
 			this.meters.onFoundLocally();
-			return CompletableFuture.completedFuture(known);
+			return CompletableFuture.completedFuture(new OriginSearch.Found(known.get()));
 		}
 		if (!BegunStream.isRecordable(requestId)) {
 			this.meters.onUnknown();
-			return CompletableFuture.completedFuture(Optional.empty());
+			return CompletableFuture.completedFuture(new OriginSearch.NotRecorded());
 		}
-		CompletableFuture<Optional<StreamOrigin>> result = new CompletableFuture<>();
+		CompletableFuture<OriginSearch> result = new CompletableFuture<>();
 		this.threads.control().after(0, () -> this.reader.find(requestId, result));
 		return result;
 	}
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/StreamOrigins.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/StreamOrigins.java
@@ -1,6 +1,5 @@
 package io.anvilusher.gateway.stream;
 
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -19,9 +18,9 @@
 	/**
 	 * Finds where a stream began.
 	 * @param requestId identifier of the request whose response brought the first event
-	 * @return the origin, or empty if it is not known; completes on the traffic thread,
-	 * possibly at once, and never exceptionally
+	 * @return the outcome; completes on the traffic thread, possibly at once, and never
+	 * exceptionally
 	 */
-	CompletableFuture<Optional<StreamOrigin>> find(String requestId);
+	CompletableFuture<OriginSearch> find(String requestId);
 
 }
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/StreamTakeUp.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/StreamTakeUp.java
@@ -12,7 +12,11 @@
 	 *
 	 * @param binding the servers that it may go on at
 	 */
-	record Bound(StreamBinding binding) implements StreamTakeUp {
+	record Bound(StreamBinding.SoftwareVersion binding) implements StreamTakeUp {
+
+		String label() {
+			return this.binding.version();
+		}
 
 	}
 
--- a/gateway/src/test/java/io/anvilusher/gateway/control/TableFollowerTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/control/TableFollowerTests.java
@@ -79,7 +79,7 @@
 		@Override
 		public CompletableFuture<TableReadResult> changes(long fromOffset, long waitMs) {
 			this.calls++;
-			return CompletableFuture.completedFuture(new TableReadResult.Changes(List.of(), fromOffset));
+			return CompletableFuture.completedFuture(new TableReadResult.Changes(List.of(), fromOffset, fromOffset));
 		}
 
 		@Override
--- a/gateway/src/test/java/io/anvilusher/gateway/peer/StoreTableStub.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/peer/StoreTableStub.java
@@ -104,12 +104,11 @@
 			.filter((read) -> !this.available || read.fromOffset() < this.log.size())
 			.toList();
 		this.waiting.removeAll(ready);
-		ready
-			.forEach(
-					(read) -> read.result()
-						.complete(this.available ? new TableReadResult.Changes(
-								List.copyOf(this.log.subList(read.fromOffset(), this.log.size())), this.log.size())
-								: new TableReadResult.Unavailable("stub")));
+		ready.forEach((read) -> read.result()
+			.complete(this.available
+					? new TableReadResult.Changes(List.copyOf(this.log.subList(read.fromOffset(), this.log.size())),
+							this.log.size(), this.log.size())
+					: new TableReadResult.Unavailable("stub")));
 	}
 
 	private record Read(int fromOffset, CompletableFuture<TableReadResult> result) {
--- a/gateway/src/test/java/io/anvilusher/gateway/request/RequestLifeSchedule.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/request/RequestLifeSchedule.java
@@ -40,6 +40,7 @@
 import io.anvilusher.gateway.peer.Peer;
 import io.anvilusher.gateway.peer.PeerRoster;
 import io.anvilusher.gateway.placement.PlacementClient;
+import io.anvilusher.gateway.stream.OriginSearch;
 import io.anvilusher.gateway.stream.StreamOrigin;
 import io.anvilusher.gateway.stream.StreamOrigins;
 import io.anvilusher.gateway.suspect.SuspectGuard;
@@ -121,7 +122,8 @@
 				METERS, (workspace) -> {
 				}, new ServerAnnouncements(this.registry, METERS, this.thread::nowMs, this.limits), this.thread::nowMs,
 				this.thread, new Random(1), Optional.of(coordination), this.limits, new NoStreamOrigins(),
-				new VersionHistory(1_000)), "a", new Dispatcher.RetryLimits(10, 10_000));
+				new VersionHistory(1_000), () -> CompletableFuture.completedFuture(true)), "a",
+				new Dispatcher.RetryLimits(10, 10_000));
 	}
 
 	/**
@@ -574,8 +576,8 @@
 		}
 
 		@Override
-		public CompletableFuture<Optional<StreamOrigin>> find(String requestId) {
-			return CompletableFuture.completedFuture(Optional.empty());
+		public CompletableFuture<OriginSearch> find(String requestId) {
+			return CompletableFuture.completedFuture(new OriginSearch.NotRecorded());
 		}
 
 	}
--- a/gateway/src/test/java/io/anvilusher/gateway/stream/FakeTasks.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/stream/FakeTasks.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.anvilusher.gateway.control.ControlTasks;
+
 /**
  * A control thread whose time a test advances.
  */
--- a/gateway/src/test/java/io/anvilusher/gateway/stream/SharedStreamOriginsTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/stream/SharedStreamOriginsTests.java
@@ -38,6 +38,10 @@
 
 	private static final StreamOrigin NEW = new StreamOrigin("chat", "v2");
 
+	private static final OriginSearch NOT_RECORDED = new OriginSearch.NotRecorded();
+
+	private static final OriginSearch UNAVAILABLE = new OriginSearch.Unavailable();
+
 	private FakeStoreLog log;
 
 	private FakeTasks tasks;
@@ -63,8 +67,12 @@
 		return gateway(1_000_000, new Meters());
 	}
 
-	private Optional<StreamOrigin> find(SharedStreamOrigins gateway, String id) {
-		CompletableFuture<Optional<StreamOrigin>> result = gateway.find(id);
+	private static OriginSearch found(StreamOrigin origin) {
+		return new OriginSearch.Found(origin);
+	}
+
+	private OriginSearch find(SharedStreamOrigins gateway, String id) {
+		CompletableFuture<OriginSearch> result = gateway.find(id);
 		this.tasks.runDue();
 		assertTrue(result.isDone(), "the search for " + id + " has not ended");
 		return result.join();
@@ -100,8 +108,8 @@
 		assertEquals(this.log.appends, 1);
 		assertEquals(writtenIds(), Set.of("a", "b", "c"));
 		SharedStreamOrigins other = otherGateway();
-		assertEquals(find(other, "b"), Optional.of(NEW));
-		assertEquals(find(other, "c"), Optional.of(OLD));
+		assertEquals(find(other, "b"), found(NEW));
+		assertEquals(find(other, "c"), found(OLD));
 	}
 
 	/** Guards against streams that only the gateways that began them can take up. */
@@ -111,15 +119,15 @@
 		otherGateway().onBegun("b", NEW);
 		this.tasks.advance(INTERVAL_MS);
 		SharedStreamOrigins successor = otherGateway();
-		assertEquals(find(successor, "a"), Optional.of(OLD));
-		assertEquals(find(successor, "b"), Optional.of(NEW));
+		assertEquals(find(successor, "a"), found(OLD));
+		assertEquals(find(successor, "b"), found(NEW));
 		assertEquals(this.log.readOffsets, List.of(0L));
 	}
 
 	@Test
 	public void ownStreamIsFoundAtOnceWithoutACall() {
 		this.origins.onBegun("a", OLD);
-		assertEquals(this.origins.find("a").getNow(Optional.empty()), Optional.of(OLD));
+		assertEquals(this.origins.find("a").getNow(NOT_RECORDED), found(OLD));
 		assertEquals(this.log.readOffsets, List.of());
 		assertTrue(this.meters.scrape().contains("anvilusher_stream_origin_finds_total{outcome=\"local\"} 1.0"),
 				this.meters.scrape());
@@ -200,7 +208,7 @@
 		this.log.holding = true;
 		this.origins.find("first");
 		this.tasks.runDue();
-		List<CompletableFuture<Optional<StreamOrigin>>> results = new ArrayList<>();
+		List<CompletableFuture<OriginSearch>> results = new ArrayList<>();
 		IntStream.range(0, 50).forEach((index) -> results.add(this.origins.find((index == 7) ? "a" : "x" + index)));
 		this.tasks.runDue();
 		assertEquals(this.log.readOffsets.size(), 1);
@@ -208,23 +216,23 @@
 		this.tasks.runDue();
 		assertEquals(this.log.readOffsets.size(), 2);
 		assertTrue(results.stream().allMatch(CompletableFuture::isDone));
-		assertEquals(results.get(7).join(), Optional.of(OLD));
-		assertEquals(results.get(8).join(), Optional.empty());
+		assertEquals(results.get(7).join(), found(OLD));
+		assertEquals(results.get(8).join(), NOT_RECORDED);
 	}
 
 	/** Guards against a stream that counts as unknown because it was read too early. */
 	@Test
 	public void searchDuringAReadWaitsForTheNextRead() {
 		this.log.holding = true;
-		CompletableFuture<Optional<StreamOrigin>> first = this.origins.find("a");
+		CompletableFuture<OriginSearch> first = this.origins.find("a");
 		this.tasks.runDue();
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("a", OLD, 0))));
-		CompletableFuture<Optional<StreamOrigin>> second = this.origins.find("a");
+		CompletableFuture<OriginSearch> second = this.origins.find("a");
 		this.tasks.runDue();
 		this.log.release();
 		this.tasks.runDue();
-		assertEquals(first.join(), Optional.empty());
-		assertEquals(second.join(), Optional.of(OLD));
+		assertEquals(first.join(), NOT_RECORDED);
+		assertEquals(second.join(), found(OLD));
 	}
 
 	@Test
@@ -232,11 +240,11 @@
 		SharedStreamOrigins other = otherGateway();
 		other.onBegun("a", OLD);
 		this.tasks.advance(INTERVAL_MS);
-		assertEquals(find(this.origins, "a"), Optional.of(OLD));
+		assertEquals(find(this.origins, "a"), found(OLD));
 		other.onBegun("b", NEW);
 		this.tasks.advance(INTERVAL_MS);
-		assertEquals(find(this.origins, "b"), Optional.of(NEW));
-		assertEquals(find(this.origins, "c"), Optional.empty());
+		assertEquals(find(this.origins, "b"), found(NEW));
+		assertEquals(find(this.origins, "c"), NOT_RECORDED);
 		assertEquals(this.log.readOffsets, List.of(0L, 1L, 2L));
 	}
 
@@ -249,19 +257,19 @@
 		}
 		this.log.recordsPerRead = 3;
 		this.log.firstOffset = 2;
-		assertEquals(find(this.origins, "id9"), Optional.of(OLD));
+		assertEquals(find(this.origins, "id9"), found(OLD));
 		assertEquals(this.log.readOffsets, List.of(0L, 2L, 5L, 8L));
-		assertEquals(find(this.origins, "id0"), Optional.empty());
+		assertEquals(find(this.origins, "id0"), NOT_RECORDED);
 	}
 
 	@Test
 	public void searchEndsWhileTheStoreIsUnavailable() {
 		this.log.unavailable = true;
-		CompletableFuture<Optional<StreamOrigin>> result = this.origins.find("a");
+		CompletableFuture<OriginSearch> result = this.origins.find("a");
 		this.tasks.advance(PATIENCE_MS - 1);
 		assertFalse(result.isDone());
 		this.tasks.advance(1);
-		assertEquals(result.join(), Optional.empty());
+		assertEquals(result.join(), UNAVAILABLE);
 		assertTrue(this.log.readOffsets.size() > 2 && this.log.readOffsets.size() < 10,
 				this.log.readOffsets.toString());
 		this.tasks.advance(5_000);
@@ -274,11 +282,11 @@
 		otherGateway().onBegun("a", OLD);
 		this.tasks.advance(INTERVAL_MS);
 		this.log.unavailable = true;
-		CompletableFuture<Optional<StreamOrigin>> result = this.origins.find("a");
+		CompletableFuture<OriginSearch> result = this.origins.find("a");
 		this.tasks.advance(PATIENCE_MS / 2);
 		this.log.unavailable = false;
 		this.tasks.advance(PATIENCE_MS / 2);
-		assertEquals(result.join(), Optional.of(OLD));
+		assertEquals(result.join(), found(OLD));
 	}
 
 	@Test
@@ -286,11 +294,11 @@
 		otherGateway().onBegun("a", OLD);
 		this.tasks.advance(INTERVAL_MS);
 		this.log.holding = true;
-		CompletableFuture<Optional<StreamOrigin>> result = this.origins.find("x");
+		CompletableFuture<OriginSearch> result = this.origins.find("x");
 		this.tasks.advance(PATIENCE_MS);
-		assertEquals(result.join(), Optional.empty());
+		assertEquals(result.join(), UNAVAILABLE);
 		this.log.release();
-		assertEquals(find(this.origins, "a"), Optional.of(OLD));
+		assertEquals(find(this.origins, "a"), found(OLD));
 	}
 
 	/** Guards against streams that a store has lost with its newest records. */
@@ -300,14 +308,14 @@
 		other.onBegun("a", OLD);
 		this.origins.onBegun("b", NEW);
 		this.tasks.advance(INTERVAL_MS);
-		assertEquals(find(this.origins, "a"), Optional.of(OLD));
+		assertEquals(find(this.origins, "a"), found(OLD));
 		this.log.restore(0);
 		this.origins.onBegun("c", NEW);
 		other.onBegun("d", OLD);
 		this.tasks.advance(3 * INTERVAL_MS);
 		SharedStreamOrigins successor = otherGateway();
 		for (String id : List.of("a", "b", "c", "d")) {
-			assertTrue(find(successor, id).isPresent(), id);
+			assertTrue(find(successor, id) instanceof OriginSearch.Found, id);
 		}
 	}
 
@@ -316,12 +324,12 @@
 	public void logIsReadFromItsBeginningOnceTheStoreReturnsFromAnOlderCopy() {
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("old", OLD, 0))));
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("lost", OLD, 0))));
-		assertEquals(find(this.origins, "lost"), Optional.of(OLD));
+		assertEquals(find(this.origins, "lost"), found(OLD));
 		this.log.restore(1);
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("a", NEW, 0))));
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("b", NEW, 0))));
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("c", NEW, 0))));
-		assertEquals(find(this.origins, "a"), Optional.of(NEW));
+		assertEquals(find(this.origins, "a"), found(NEW));
 	}
 
 	@Test
@@ -331,15 +339,15 @@
 		this.tasks.advance(INTERVAL_MS);
 		find(this.origins, "x");
 		this.log.restore(0);
-		CompletableFuture<Optional<StreamOrigin>> found = this.origins.find("a");
-		CompletableFuture<Optional<StreamOrigin>> unknown = this.origins.find("y");
+		CompletableFuture<OriginSearch> found = this.origins.find("a");
+		CompletableFuture<OriginSearch> unknown = this.origins.find("y");
 		this.tasks.runDue();
 		other.onBegun("b", OLD);
 		this.tasks.advance(INTERVAL_MS);
 		assertFalse(unknown.isDone());
 		this.tasks.advance(5 * INTERVAL_MS);
-		assertEquals(found.join(), Optional.of(OLD));
-		assertEquals(unknown.join(), Optional.empty());
+		assertEquals(found.join(), found(OLD));
+		assertEquals(unknown.join(), NOT_RECORDED);
 	}
 
 	@Test
@@ -351,8 +359,8 @@
 				.mapToObj((index) -> new BegunStream("id-" + number + "-" + index, OLD, 0))
 				.toList()));
 		}
-		assertEquals(find(small, "id-0-0"), Optional.of(OLD));
-		assertEquals(find(small, "id-19-4999"), Optional.of(OLD));
+		assertEquals(find(small, "id-0-0"), found(OLD));
+		assertEquals(find(small, "id-19-4999"), found(OLD));
 		assertTrue(this.meters.scrape().matches("(?s).*\nanvilusher_stream_origins \\d{1,3}\\.0\n.*"),
 				this.meters.scrape());
 	}
@@ -388,8 +396,8 @@
 	public void recordsThatCannotBeReadAreSkipped(String text) {
 		this.log.records.add(text.getBytes(StandardCharsets.UTF_8));
 		this.log.records.add(OriginRecord.encode(List.of(new BegunStream("b", NEW, 0))));
-		assertEquals(find(this.origins, "b"), Optional.of(NEW));
-		assertEquals(find(this.origins, "a"), Optional.empty());
+		assertEquals(find(this.origins, "b"), found(NEW));
+		assertEquals(find(this.origins, "a"), NOT_RECORDED);
 		assertTrue(this.meters.scrape().contains("anvilusher_stream_origin_unreadable_total 1.0"),
 				this.meters.scrape());
 	}
@@ -408,7 +416,7 @@
 		StreamOrigin origin = new StreamOrigin("s" + text, "v" + text);
 		this.origins.onBegun("id" + text, origin);
 		this.tasks.advance(INTERVAL_MS);
-		assertEquals(find(otherGateway(), "id" + text), Optional.of(origin));
+		assertEquals(find(otherGateway(), "id" + text), found(origin));
 	}
 
 	@Test
@@ -418,7 +426,7 @@
 		this.origins.onBegun("y".repeat(128), OLD);
 		this.tasks.advance(INTERVAL_MS);
 		assertEquals(writtenIds(), Set.of("y".repeat(128)));
-		assertEquals(this.origins.find(id).getNow(Optional.of(OLD)), Optional.empty());
+		assertEquals(this.origins.find(id).getNow(found(OLD)), NOT_RECORDED);
 		assertEquals(this.log.readOffsets, List.of());
 	}
 
--- a/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
+++ b/model/src/main/java/io/anvilusher/model/request/RefusalReason.java
@@ -85,6 +85,12 @@
 	 */
 	STREAM_ORIGIN_UNKNOWN(503, true),
 
+	/**
+	 * The caller takes up a stream, and the store does not answer which software version
+	 * can have begun it or which servers run that version.
+	 */
+	STREAM_ORIGIN_UNAVAILABLE(503, true),
+
 	/**
 	 * The caller takes up a stream, and no server runs the software version that began
 	 * it.
