Entry: tell the truth when a retry finds a full queue

What callers saw: a request that may be repeated failed at a server after it may have run, was queued again, found the queue full and was refused with service_saturated, "not run".

The queue's length was checked without asking what became of earlier attempts; only the queue's time-out asked.

Change: DispatchedRequest.refuse replaces a reason that says "not run" if an attempt may have run, for all reasons.

Evidence: RefusedRetryTests failed before ("expected SERVER_LOST but found SERVICE_SATURATED") and passes.

--- a/entry/src/main/java/io/anvilusher/entry/dispatch/DispatchedRequest.java
+++ b/entry/src/main/java/io/anvilusher/entry/dispatch/DispatchedRequest.java
@@ -400,16 +400,19 @@
 	}
 
 	/**
-	 * Ends the request with an error response, or aborts a response that has begun.
-	 * @param reason the reason reported to the caller
+	 * Ends the request with an error response, or aborts a response that has begun. A
+	 * reason that tells the caller "not run" is replaced if an attempt may have run.
+	 * @param proposed the reason to be reported to the caller
 	 * @param detail further text for the caller; may be empty
 	 */
-	void refuse(RefusalReason reason, String detail) {
+	void refuse(RefusalReason proposed, String detail) {
+		RefusalReason reason;
 		synchronized (this) {
 			if (this.finished) {
 				return;
 			}
 			this.finished = true;
+			reason = (proposed.notRun() && this.mayHaveRun) ? RefusalReason.SERVER_LOST : proposed;
 		}
 		this.sink.refuse(reason, detail);
 		count("refused");
@@ -423,14 +426,6 @@
 	}
 
 	void onQueueTimeout(boolean serversKnown) {
-		boolean mayHaveRunBefore;
-		synchronized (this) {
-			mayHaveRunBefore = this.mayHaveRun;
-		}
-		if (mayHaveRunBefore) {
-			refuse(RefusalReason.SERVER_LOST, "");
-			return;
-		}
 		refuse(serversKnown ? RefusalReason.QUEUE_TIMEOUT : RefusalReason.NO_SERVER, "");
 	}
 
