Sidecar: send each request on a connection of its own

A backend server that sends a late second answer to one request on a kept connection answered the next request with it (MIXED).

Cause: connections were kept for requests that may be repeated, and a response on the loopback interface names no request, so a late one cannot be told from the next.

Change: no connection is used for a second request, as before for requests that may not be repeated.

Evidence: LateAnswerTests failed before ("expected [/1] but found [/0]") and passes.

--- a/sidecar/src/main/java/io/anvilusher/sidecar/attempt/RunningAttempt.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/attempt/RunningAttempt.java
@@ -91,8 +91,10 @@
 			.stream()
 			.map((header) -> new HttpHeader(header.getName(), header.getValue()))
 			.toList();
+		// A response does not name its request. On a kept connection, a late answer to an
+		// earlier request would be taken for the answer to this one.
 		RunningCall running = client.start(new HttpCall(this.start.getMethod(), backend, this.start.getPath(),
-				requestHeaders, this.start.getBody().toByteArray(), !this.start.getRepeatable()), this);
+				requestHeaders, this.start.getBody().toByteArray(), true), this);
 		this.call = running;
 		this.cancelDeadline = client.after(this.start.getDeadlineMs(), () -> abort(AttemptFailure.TIMED_OUT));
 		synchronized (this) {
