Catch-ups follow a table that is read anew, and history that was dropped

- While a table was read anew (a new era of the store), a catch-up could read from an offset of the era before and report "up to date", and the era of the copy could be that of a later response.
A copy counts as read only once the new reading is complete, a reading that began meanwhile fails the catch-up, and the era is taken before the first page.
- Without Resumes, a version that came and went while the history was dropped did not count.
It counts as missed for as long as streams last (VersionHistory.onChangesMissed).
- A poll's response that a catch-up had overtaken in part was thrown away.
It is applied as a whole if it brings more.
- Catch-ups were not paced.
There are 20 ms between two reads, which all calls share.

--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -509,7 +509,7 @@
 
 		@Override
 		public void onHistoryDropped() {
-			Gateway.this.versions.onUnreachable();
+			Gateway.this.versions.onChangesMissed(Gateway.this.clock.nowMs());
 		}
 
 		@Override
--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -33,6 +33,9 @@
 	 */
 	private static final long FIRST_RETRY_DELAY_MS = 150;
 
+	/** Shortest time between two reads for {@link #catchUp()}, which all calls share. */
+	private static final long CATCH_UP_INTERVAL_MS = 20;
+
 	private final String name;
 
 	private final StoreTable table;
@@ -55,6 +58,14 @@
 
 	private boolean wasRead;
 
+	private int readings;
+
+	private OptionalLong eraBeforeRead = OptionalLong.empty();
+
+	private boolean catchUpScheduled;
+
+	private long lastCatchUpAtMs = Long.MIN_VALUE / 2;
+
 	private OptionalLong readEra = OptionalLong.empty();
 
 	private boolean reachable = true;
@@ -108,6 +119,9 @@
 	 * Reads all records, then polls for changes until the process ends.
 	 */
 	public void start() {
+		this.wasRead = false;
+		this.readings++;
+		this.eraBeforeRead = this.table.storeEra();
 		readPage(new HashMap<>(), Optional.empty(), Long.MAX_VALUE);
 	}
 
@@ -118,7 +132,8 @@
 				return;
 			}
 			if (afterKey.isEmpty()) {
-				this.readEra = this.table.storeEra();
+				// A call of another era may have been answered since the page was read.
+				this.readEra = this.eraBeforeRead.isPresent() ? this.eraBeforeRead : this.table.storeEra();
 			}
 			page.records().forEach((keyedRecord) -> apply(readSoFar, keyedRecord));
 			// The pages are not a consistent snapshot. Changes are therefore read from
@@ -152,19 +167,24 @@
 		CompletableFuture<Boolean> result = new CompletableFuture<>();
 		this.thread.after(0, () -> {
 			this.behind.add(result);
-			if (this.catchingUp.isEmpty()) {
-				catchUpNow();
-			}
+			scheduleCatchUp();
 		});
 		return result;
 	}
 
-	private void catchUpNow() {
-		this.catchingUp.addAll(this.behind);
-		this.behind.clear();
-		if (!this.catchingUp.isEmpty()) {
-			readForCatchUp();
+	private void scheduleCatchUp() {
+		if (this.behind.isEmpty() || this.catchUpScheduled || !this.catchingUp.isEmpty()) {
+			return;
 		}
+		this.catchUpScheduled = true;
+		long dueInMs = this.lastCatchUpAtMs + CATCH_UP_INTERVAL_MS - this.clock.nowMs();
+		this.thread.after(Math.max(0, dueInMs), () -> {
+			this.catchUpScheduled = false;
+			this.lastCatchUpAtMs = this.clock.nowMs();
+			this.catchingUp.addAll(this.behind);
+			this.behind.clear();
+			readForCatchUp();
+		});
 	}
 
 	private void readForCatchUp() {
@@ -173,17 +193,13 @@
 			return;
 		}
 		long fromOffset = this.nextOffset;
-		OptionalLong eraBefore = this.readEra;
+		int reading = this.readings;
 		onControlThread(this.table.changes(fromOffset, 0), (result) -> {
-			if (isOtherEra() || !this.readEra.equals(eraBefore)
-					|| !(result instanceof TableReadResult.Changes changes)) {
+			if (isOtherEra() || reading != this.readings || !(result instanceof TableReadResult.Changes changes)) {
 				endCatchUp(false);
 				return;
 			}
-			// Otherwise, a read of the polls has brought the copy further meanwhile.
-			if (fromOffset == this.nextOffset) {
-				onChanges(changes);
-			}
+			applyIfNewer(changes);
 			if (this.nextOffset >= changes.endOffset()) {
 				endCatchUp(true);
 			}
@@ -202,7 +218,17 @@
 		this.meters.counter("anvilusher.store.catch.ups", "table", this.name, "outcome", upToDate ? "ok" : "failed")
 			.increment();
 		ended.forEach((result) -> result.complete(upToDate));
-		catchUpNow();
+		scheduleCatchUp();
+	}
+
+	// Polls and catch-ups read at the same time. A response that overlaps with what was
+	// applied is applied as a whole, which ends with the newest record of each key.
+	private boolean applyIfNewer(TableReadResult.Changes changes) {
+		boolean newer = changes.nextOffset() >= this.nextOffset;
+		if (newer) {
+			onChanges(changes);
+		}
+		return newer;
 	}
 
 	private void onChanges(TableReadResult.Changes changes) {
@@ -216,22 +242,14 @@
 	}
 
 	private void readChanges() {
-		long fromOffset = this.nextOffset;
-		onControlThread(this.table.changes(fromOffset, this.intervals.waitMs()), (result) -> {
+		onControlThread(this.table.changes(this.nextOffset, this.intervals.waitMs()), (result) -> {
 			if (isOtherEra()) {
 				LOGGER.info("Table {}: the store returned from an older copy; reading all records again", this.name);
 				this.listener.onHistoryDropped();
 				start();
 			}
 			else if (result instanceof TableReadResult.Changes changes) {
-				if (fromOffset == this.nextOffset) {
-					onChanges(changes);
-					this.thread.after(this.intervals.pauseMs(), this::readChanges);
-				}
-				else {
-					// A call of catchUp() has applied some of these changes already.
-					readChanges();
-				}
+				this.thread.after(applyIfNewer(changes) ? this.intervals.pauseMs() : 0, this::readChanges);
 			}
 			else if (result instanceof TableReadResult.HistoryDropped) {
 				LOGGER.info(
--- a/gateway/src/main/java/io/anvilusher/gateway/stream/StreamTakeUps.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/stream/StreamTakeUps.java
@@ -108,7 +108,7 @@
 			}
 			Optional<String> only = subject.beganAs().isPresent()
 					? this.versions.onlyVersion(subject.service(), this.clock.nowMs())
-					: this.versions.onlyVersionSinceStart(subject.service());
+					: this.versions.onlyVersionSinceStart(subject.service(), this.clock.nowMs());
 			return decided(subject, search, label(true),
 					only.map(StreamTakeUps::bound).orElseGet(() -> refused(reasonIfSeveral)));
 		});
--- a/gateway/src/test/java/io/anvilusher/gateway/stream/TakeUpSchedule.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/stream/TakeUpSchedule.java
@@ -399,7 +399,7 @@
 
 			@Override
 			public void onHistoryDropped() {
-				Node.this.versions.onUnreachable();
+				Node.this.versions.onChangesMissed(clockMs());
 			}
 
 			@Override
--- a/logic/src/main/java/io/anvilusher/logic/fleet/VersionHistory.java
+++ b/logic/src/main/java/io/anvilusher/logic/fleet/VersionHistory.java
@@ -35,6 +35,8 @@
 
 	private OptionalLong longestStreamMs = OptionalLong.empty();
 
+	private OptionalLong missedAtMs = OptionalLong.empty();
+
 	/**
 	 * Creates a history without servers.
 	 * @param maxReadAgeMs longest time between two reads of the store, in ms, after which
@@ -101,8 +103,17 @@
 	}
 
 	/**
-	 * Records that changes may have been missed: the store is unreachable or no longer
-	 * has them.
+	 * Records that changes were missed, since the store no longer has them: a version may
+	 * have come and gone unseen.
+	 * @param nowMs monotonic time, in ms
+	 */
+	public synchronized void onChangesMissed(long nowMs) {
+		this.unbrokenSinceMs = OptionalLong.empty();
+		this.missedAtMs = OptionalLong.of(nowMs);
+	}
+
+	/**
+	 * Records that the store is unreachable.
 	 */
 	public synchronized void onUnreachable() {
 		this.unbrokenSinceMs = OptionalLong.empty();
@@ -136,10 +147,14 @@
 	/**
 	 * Returns the software version of a service if this process has known only one.
 	 * @param service name of the service
-	 * @return the version; empty if there were several or it is not known
+	 * @param nowMs monotonic time, in ms
+	 * @return the version; empty if there were several, it is not known, or changes were
+	 * missed less than the life of a stream ago
 	 */
-	public synchronized Optional<String> onlyVersionSinceStart(String service) {
-		return only(this.lastSeenMsByService.getOrDefault(service, Map.of()).keySet());
+	public synchronized Optional<String> onlyVersionSinceStart(String service, long nowMs) {
+		boolean missed = this.missedAtMs.isPresent() && (this.longestStreamMs.isEmpty()
+				|| nowMs - this.missedAtMs.getAsLong() <= this.longestStreamMs.getAsLong());
+		return missed ? Optional.empty() : only(this.lastSeenMsByService.getOrDefault(service, Map.of()).keySet());
 	}
 
 	private static Optional<String> only(Collection<String> versions) {
--- a/logic/src/test/java/io/anvilusher/logic/fleet/VersionHistoryTests.java
+++ b/logic/src/test/java/io/anvilusher/logic/fleet/VersionHistoryTests.java
@@ -82,7 +82,7 @@
 		this.history.onRegistration(server("s", "v2"), 20_000);
 		register(20_000, "v1");
 		assertEquals(onlyAt(20_000), Optional.empty());
-		assertEquals(this.history.onlyVersionSinceStart("s"), Optional.empty());
+		assertEquals(this.history.onlyVersionSinceStart("s", 20_000), Optional.empty());
 	}
 
 	@Test
@@ -107,19 +107,33 @@
 		assertEquals(onlyAt(20_501), Optional.empty());
 	}
 
+	/**
+	 * Guards against a version that came and went while the store dropped its history.
+	 */
+	@Test
+	public void missedChangesCountAsLongAsStreamsLast() {
+		register(0, "v1");
+		readFrom(0, 20_000);
+		this.history.onChangesMissed(20_000);
+		assertEquals(onlyAt(20_000), Optional.empty());
+		assertEquals(this.history.onlyVersionSinceStart("s", 20_000), Optional.empty());
+		assertEquals(this.history.onlyVersionSinceStart("s", 30_000), Optional.empty());
+		assertEquals(this.history.onlyVersionSinceStart("s", 30_001), Optional.of("v1"));
+	}
+
 	@Test
 	public void unknownVersionIsNoOnlyVersion() {
 		register(0, "");
 		readFrom(0, 20_000);
 		assertEquals(onlyAt(20_000), Optional.empty());
-		assertEquals(this.history.onlyVersionSinceStart("s"), Optional.empty());
+		assertEquals(this.history.onlyVersionSinceStart("s", 20_000), Optional.empty());
 	}
 
 	@Test
 	public void manyVersionsAreStillSeveral() {
 		IntStream.range(0, 100).forEach((index) -> register(index, "v" + index));
 		register(100, List.of("v1").toArray(String[]::new));
-		assertEquals(this.history.onlyVersionSinceStart("s"), Optional.empty());
+		assertEquals(this.history.onlyVersionSinceStart("s", 20_000), Optional.empty());
 	}
 
 	@Test
