Tell sends to one address apart by connection, whatever the server's id

What callers might see: REFUSED or TWICE. A server that starts again at its address under a new id is, for a while, registered twice. A request that its process refused under the old id could be sent to the new id on the same kept connection, where a late copy of the refusal, with the request's own id, was believed for the second send.

Cause: the ledger told repeated sends by the server's id, and connections are kept by address.

--- a/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/request/ServerAttempt.java
@@ -99,8 +99,9 @@
 		this.trackedServer = trackedServer;
 		this.uncachedTokens = uncachedTokens;
 		this.step = step;
-		this.repeated = request.ledger().contains(trackedServer.server().id());
-		this.send = request.ledger().add(trackedServer.server().id(), step.label());
+		String address = trackedServer.server().address();
+		this.repeated = request.ledger().containsAddress(address);
+		this.send = request.ledger().add(trackedServer.server().id(), address, step.label());
 		this.bufferedBody = new BodyBuffer(MAX_BUFFERED_BYTES, dispatcher.client().memory().open());
 		this.sentAtMs = dispatcher.nowMs();
 		this.observerDelayAtStartMs = trackedServer.observerDelayMs();
--- a/logic/src/main/java/io/anvilusher/logic/request/SendLedger.java
+++ b/logic/src/main/java/io/anvilusher/logic/request/SendLedger.java
@@ -16,11 +16,12 @@
 	/**
 	 * Adds a send that has not started.
 	 * @param server id of the server
+	 * @param address address (IP and port) of the server
 	 * @param step name of the step that the server performs, for log lines
 	 * @return the send
 	 */
-	public Send add(String server, String step) {
-		Send added = new Send(server, step);
+	public Send add(String server, String address, String step) {
+		Send added = new Send(server, address, step);
 		this.sends.add(added);
 		return added;
 	}
@@ -42,12 +43,13 @@
 	}
 
 	/**
-	 * Returns whether the request was sent to a server before.
-	 * @param server id of the server
+	 * Returns whether the request was sent to an address before. A server may have
+	 * started again at its address under another id, and connections are kept by address.
+	 * @param address address (IP and port) of a server
 	 * @return whether there is a send to it
 	 */
-	public boolean contains(String server) {
-		return this.sends.stream().anyMatch((send) -> send.server.equals(server));
+	public boolean containsAddress(String address) {
+		return this.sends.stream().anyMatch((send) -> send.address.equals(address));
 	}
 
 	/**
@@ -65,12 +67,15 @@
 
 		private final String server;
 
+		private final String address;
+
 		private final String step;
 
 		private SendState state = SendState.NOT_SENT;
 
-		private Send(String server, String step) {
+		private Send(String server, String address, String step) {
 			this.server = server;
+			this.address = address;
 			this.step = step;
 		}
 
