Use the connection of an attempt for nothing else, also afterwards

What callers might see: a late answer to an attempt that a sidecar takes for the answer to an order or a health check on the connection that the attempt gave back (an order that counts as done, a healthy backend that counts as down).

Cause: "send each request on a connection of its own" opened a new connection for an attempt, but the client still kept it for later calls, and no attempt ever took one, so they would also pile up.

Change: HttpCall.ownConnection (before: newConnection): the connection is closed after the call. The gateway uses it for requests that a server gets again.

Evidence: found by a reviewer; LateAnswerTests#lateAnswerIsNotTakenForThatToAControlCall failed on ("expected [/health] but found [/0]") and passes.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -306,12 +306,13 @@
 		if (this.connection != null) {
 			this.connection.input().onEnd();
 		}
-		if (this.connection != null && this.requestBodyWritten) {
+		if (this.connection != null && this.requestBodyWritten && !this.call.ownConnection()) {
 			this.client.returnToPool(this.call.target(), this.connection, this.keepAliveMs);
 		}
 		else {
-			// The request body was not sent completely, so the server would read the next
-			// request as the rest of it.
+			// Otherwise, the server would read the next request as the rest of a body
+			// that
+			// was not sent completely, or a late answer would be taken for the next one.
 			close();
 		}
 		this.listener.onEnd();
--- a/adapters/src/main/java/io/anvilusher/adapters/http/HttpCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/HttpCall.java
@@ -13,12 +13,12 @@
  * @param path path and query
  * @param headers headers; Content-Length and a missing Host header are added
  * @param body body; empty if there is none
- * @param newConnection whether to open a new connection instead of reusing an idle one,
- * so that a refused connection proves that nothing was sent, and so that no response of
- * an earlier call can arrive
+ * @param ownConnection whether to open a connection that no other call uses before or
+ * after it, so that a refused connection proves that nothing was sent, and so that no
+ * response of one call can be taken for that of another
  */
 public record HttpCall(String method, URI target, String path, List<HttpHeader> headers, byte[] body,
-		boolean newConnection) {
+		boolean ownConnection) {
 
 	public HttpCall {
 		headers = List.copyOf(headers);
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -131,7 +131,7 @@
 
 	@Override
 	public RunningCall start(HttpCall call, HttpCallListener listener) {
-		ServerConnection pooled = call.newConnection() ? null : takeIdleConnection(call.target());
+		ServerConnection pooled = call.ownConnection() ? null : takeIdleConnection(call.target());
 		if (pooled != null) {
 			XnioIoThread pooledThread = pooled.connection().getIoThread();
 			ClientCall running = new ClientCall(this, call, listener, pooledThread);
--- a/gateway/src/test/java/io/anvilusher/gateway/request/ModelCall.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/request/ModelCall.java
@@ -124,7 +124,7 @@
 	}
 
 	private void addAnswers(List<ScheduleAction> actions) {
-		if (!this.call.newConnection()) {
+		if (!this.call.ownConnection()) {
 			this.engine.lateCopy().ifPresent((copy) -> add(actions, "late second answer " + copy, () -> {
 				this.engine.takeLateCopy();
 				show(copy);
--- a/sidecar/src/test/java/io/anvilusher/sidecar/attempt/LateAnswerTests.java
+++ b/sidecar/src/test/java/io/anvilusher/sidecar/attempt/LateAnswerTests.java
@@ -16,6 +16,9 @@
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
+import io.anvilusher.adapters.http.BufferingHttpClient;
+import io.anvilusher.adapters.http.HttpCall;
+import io.anvilusher.adapters.http.HttpCallResponse;
 import io.anvilusher.adapters.http.StreamingHttpClient;
 import io.anvilusher.protocol.generated.PeerMessages.AttemptStart;
 import io.anvilusher.protocol.generated.PeerMessages.Frame;
@@ -121,6 +124,18 @@
 		}
 	}
 
+	/** Guards against orders and health checks that get the answer to an attempt. */
+	@Test
+	public void lateAnswerIsNotTakenForThatToAControlCall() throws Exception {
+		assertEquals(answerTo("/0"), "/0");
+		TimeUnit.MILLISECONDS.sleep(50);
+		HttpCall control = HttpCall.of("GET", URI.create("http://127.0.0.1:" + this.backend.getLocalPort()), "/health",
+				new byte[0]);
+		HttpCallResponse response = new BufferingHttpClient(this.client).call(control, 5_000, 1_000)
+			.get(5, TimeUnit.SECONDS);
+		assertEquals(new String(response.body(), StandardCharsets.ISO_8859_1), "/health");
+	}
+
 	private final class Entry implements PeerConnection {
 
 		@Override
