--- a/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/control/TableFollower.java
@@ -1,6 +1,8 @@
 package io.anvilusher.gateway.control;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -31,6 +33,9 @@
 	 */
 	private static final long FIRST_RETRY_DELAY_MS = 150;
 
+	/** Shortest time between two reads for {@link #catchUp()}, which all calls share. */
+	private static final long CATCH_UP_INTERVAL_MS = 20;
+
 	private final String name;
 
 	private final StoreTable table;
@@ -39,7 +44,7 @@
 
 	private final Listener<T> listener;
 
-	private final ControlThread thread;
+	private final ControlTasks thread;
 
 	private final MonotonicClock clock;
 
@@ -51,12 +56,28 @@
 
 	private long nextOffset;
 
+	private boolean wasRead;
+
+	private int readings;
+
+	private OptionalLong eraBeforeRead = OptionalLong.empty();
+
+	private boolean catchUpScheduled;
+
+	private long lastCatchUpAtMs = Long.MIN_VALUE / 2;
+
 	private OptionalLong readEra = OptionalLong.empty();
 
 	private boolean reachable = true;
 
 	private int failures;
 
+	/** Calls of {@link #catchUp()} that the next read answers. */
+	private final List<CompletableFuture<Boolean>> behind = new ArrayList<>();
+
+	/** Calls of {@link #catchUp()} that the read in flight answers. */
+	private final List<CompletableFuture<Boolean>> catchingUp = new ArrayList<>();
+
 	/**
 	 * Creates a follower.
 	 * @param name name of the table in log lines and metrics
@@ -68,13 +89,29 @@
 	 */
 	public TableFollower(String name, StoreTable table, BiFunction<String, byte[], Optional<T>> decoder,
 			Listener<T> listener, ControlContext context, PollIntervals intervals) {
+		this(name, table, decoder, listener, context.thread()::after, context.clock(), context.meters(), intervals);
+	}
+
+	/**
+	 * Creates a follower on any thread.
+	 * @param name name of the table in log lines and metrics
+	 * @param table the table to follow
+	 * @param decoder decodes the value of a key; empty if the value is not usable
+	 * @param listener is notified of changes
+	 * @param thread runs all tasks, one at a time
+	 * @param clock the monotonic clock
+	 * @param meters metrics
+	 * @param intervals how often the store is polled
+	 */
+	public TableFollower(String name, StoreTable table, BiFunction<String, byte[], Optional<T>> decoder,
+			Listener<T> listener, ControlTasks thread, MonotonicClock clock, Meters meters, PollIntervals intervals) {
 		this.name = name;
 		this.table = table;
 		this.decoder = decoder;
 		this.listener = listener;
-		this.thread = context.thread();
-		this.clock = context.clock();
-		this.meters = context.meters();
+		this.thread = thread;
+		this.clock = clock;
+		this.meters = meters;
 		this.intervals = intervals;
 	}
 
@@ -82,6 +119,9 @@
 	 * Reads all records, then polls for changes until the process ends.
 	 */
 	public void start() {
+		this.wasRead = false;
+		this.readings++;
+		this.eraBeforeRead = this.table.storeEra();
 		readPage(new HashMap<>(), Optional.empty(), Long.MAX_VALUE);
 	}
 
@@ -92,7 +132,8 @@
 				return;
 			}
 			if (afterKey.isEmpty()) {
-				this.readEra = this.table.storeEra();
+				// A call of another era may have been answered since the page was read.
+				this.readEra = this.eraBeforeRead.isPresent() ? this.eraBeforeRead : this.table.storeEra();
 			}
 			page.records().forEach((keyedRecord) -> apply(readSoFar, keyedRecord));
 			// The pages are not a consistent snapshot. Changes are therefore read from
@@ -106,6 +147,7 @@
 			}
 			this.values = readSoFar;
 			this.nextOffset = endOffset;
+			this.wasRead = true;
 			onReachable();
 			LOGGER.info("Table {} was read: {} records, offset {}", this.name, readSoFar.size(), endOffset);
 			this.listener.onRead(this.clock.nowMs());
@@ -114,6 +156,91 @@
 		});
 	}
 
+	/**
+	 * Brings the copy up to date with a read that begins after the call. The age of the
+	 * last read shows nothing about changes made since. May be called on any thread.
+	 * @return whether the copy holds all changes that the store accepted before the call;
+	 * false if the store does not answer or no longer has them. Completes on the control
+	 * thread, never exceptionally
+	 */
+	public CompletableFuture<Boolean> catchUp() {
+		CompletableFuture<Boolean> result = new CompletableFuture<>();
+		this.thread.after(0, () -> {
+			this.behind.add(result);
+			scheduleCatchUp();
+		});
+		return result;
+	}
+
+	private void scheduleCatchUp() {
+		if (this.behind.isEmpty() || this.catchUpScheduled || !this.catchingUp.isEmpty()) {
+			return;
+		}
+		this.catchUpScheduled = true;
+		long dueInMs = this.lastCatchUpAtMs + CATCH_UP_INTERVAL_MS - this.clock.nowMs();
+		this.thread.after(Math.max(0, dueInMs), () -> {
+			this.catchUpScheduled = false;
+			this.lastCatchUpAtMs = this.clock.nowMs();
+			this.catchingUp.addAll(this.behind);
+			this.behind.clear();
+			readForCatchUp();
+		});
+	}
+
+	private void readForCatchUp() {
+		if (!this.wasRead) {
+			endCatchUp(false);
+			return;
+		}
+		long fromOffset = this.nextOffset;
+		int reading = this.readings;
+		onControlThread(this.table.changes(fromOffset, 0), (result) -> {
+			if (isOtherEra() || reading != this.readings || !(result instanceof TableReadResult.Changes changes)) {
+				endCatchUp(false);
+				return;
+			}
+			applyIfNewer(changes);
+			if (this.nextOffset >= changes.endOffset()) {
+				endCatchUp(true);
+			}
+			else if (this.nextOffset > fromOffset) {
+				readForCatchUp();
+			}
+			else {
+				endCatchUp(false);
+			}
+		});
+	}
+
+	private void endCatchUp(boolean upToDate) {
+		List<CompletableFuture<Boolean>> ended = List.copyOf(this.catchingUp);
+		this.catchingUp.clear();
+		this.meters.counter("anvilusher.store.catch.ups", "table", this.name, "outcome", upToDate ? "ok" : "failed")
+			.increment();
+		ended.forEach((result) -> result.complete(upToDate));
+		scheduleCatchUp();
+	}
+
+	// Polls and catch-ups read at the same time. A response that overlaps with what was
+	// applied is applied as a whole, which ends with the newest record of each key.
+	private boolean applyIfNewer(TableReadResult.Changes changes) {
+		boolean newer = changes.nextOffset() >= this.nextOffset;
+		if (newer) {
+			onChanges(changes);
+		}
+		return newer;
+	}
+
+	private void onChanges(TableReadResult.Changes changes) {
+		onReachable();
+		this.listener.onRead(this.clock.nowMs());
+		this.nextOffset = changes.nextOffset();
+		if (!changes.records().isEmpty()) {
+			changes.records().forEach((keyedRecord) -> apply(this.values, keyedRecord));
+			this.listener.onTable(Map.copyOf(this.values));
+		}
+	}
+
 	private void readChanges() {
 		onControlThread(this.table.changes(this.nextOffset, this.intervals.waitMs()), (result) -> {
 			if (isOtherEra()) {
@@ -122,14 +249,7 @@
 				start();
 			}
 			else if (result instanceof TableReadResult.Changes changes) {
-				onReachable();
-				this.listener.onRead(this.clock.nowMs());
-				this.nextOffset = changes.nextOffset();
-				if (!changes.records().isEmpty()) {
-					changes.records().forEach((keyedRecord) -> apply(this.values, keyedRecord));
-					this.listener.onTable(Map.copyOf(this.values));
-				}
-				this.thread.after(this.intervals.pauseMs(), this::readChanges);
+				this.thread.after(applyIfNewer(changes) ? this.intervals.pauseMs() : 0, this::readChanges);
 			}
 			else if (result instanceof TableReadResult.HistoryDropped) {
 				LOGGER.info(
@@ -201,7 +321,7 @@
 		pending.exceptionally((failure) -> {
 			LOGGER.error("Table {}: a read failed unexpectedly", this.name, failure);
 			return new TableReadResult.Unavailable(failure.toString());
-		}).thenAccept((result) -> this.thread.run(() -> action.accept(result)));
+		}).thenAccept((result) -> this.thread.after(0, () -> action.accept(result)));
 	}
 
 	/**
