--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -310,9 +310,8 @@
 			this.client.returnToPool(this.call.target(), this.connection, this.keepAliveMs);
 		}
 		else {
-			// Otherwise, the server would read the next request as the rest of a body
-			// that
-			// was not sent completely, or a late answer would be taken for the next one.
+			// The server would read the next request as the rest of an incomplete body, or
+			// a late answer would be taken for the next one.
 			close();
 		}
 		this.listener.onEnd();
