--- a/gateway/src/test/java/io/anvilusher/gateway/control/TableCatchUpTests.java
+++ b/gateway/src/test/java/io/anvilusher/gateway/control/TableCatchUpTests.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import org.testng.annotations.BeforeMethod;
@@ -108,7 +109,7 @@
 		assertFalse(result.isDone());
 		respond(2, changes(3, 3, record("c", "1")));
 		assertTrue(result.join());
-		assertEquals(this.copy.keySet(), java.util.Set.of("a", "b", "c"));
+		assertEquals(this.copy.keySet(), Set.of("a", "b", "c"));
 	}
 
 	@Test
