Check the heads of servers' responses byte by byte

Callers saw (rule MIXED): a whole 200 whose head was damaged, with a body that was not the server's: half a body where two Content-Length fields differed, a body that ended with the connection where the length stood on a line that began with a blank.

Cause: Undertow's parser was the only judge of a head. It believes the first of several lengths, takes "+40" and "-0" for numbers, joins a line that begins with a blank or tab to the one before it, and lets a length win over chunks or the other way round. StatusLineChecker looked at the first line only.

ResponseReadConduit, through which gateway, entry and sidecar read all that servers, engines and the platform send, now checks each byte of a head before the parser sees it (RFC 9112, 2.2, 4, 5, 6; RFC 9110, 5.5, 5.6.2, 8.6), in parts of any size and also in interim responses. A head that breaks a rule fails the call: 502, or another server where the route allows it. The log has the server, the rule and the line, escaped and cut to 80 bytes; anvilusher_responses_malformed_total counts by rule. The check of Transfer-Encoding moves from ClientCall to the same place, and chunks in HTTP/1.0 are rejected.

Sound heads of any look pass before and after.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -212,11 +212,6 @@
 					"Status " + status + " of the response is not from " + MIN_STATUS + " to " + MAX_STATUS));
 			return;
 		}
-		if (!hasReadableCoding(response)) {
-			fail(new IOException("Transfer-Encoding " + response.getResponseHeaders().get(Headers.TRANSFER_ENCODING)
-					+ " of the response is not chunked; its end is not known"));
-			return;
-		}
 		List<HttpHeader> headers = new ArrayList<>();
 		for (HeaderValues values : response.getResponseHeaders()) {
 			values.forEach((value) -> headers.add(new HttpHeader(values.getHeaderName().toString(), value)));
@@ -245,13 +240,6 @@
 				: StreamingHttpClient.DEFAULT_KEEP_ALIVE_MS;
 	}
 
-	// Undertow reads a body in any other coding to the end of the connection.
-	private static boolean hasReadableCoding(ClientResponse response) {
-		HeaderValues codings = response.getResponseHeaders().get(Headers.TRANSFER_ENCODING);
-		return codings == null
-				|| (codings.size() == 1 && codings.getFirst().equalsIgnoreCase(Headers.CHUNKED.toString()));
-	}
-
 	private boolean isBodiless(ClientResponse response) {
 		return response.getResponseCode() == 204 || response.getResponseCode() == 304
 				|| this.call.method().equals("HEAD");
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ConnectingIoThread.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ConnectingIoThread.java
@@ -13,6 +13,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.channels.BoundChannel;
 
+import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.logic.admission.MemoryBudget;
 
 /**
@@ -27,12 +28,15 @@
 
 	private final MemoryBudget memory;
 
+	private final Meters meters;
+
 	private @Nullable ResponseReadConduit opening;
 
-	ConnectingIoThread(XnioIoThread delegate, MemoryBudget memory) {
+	ConnectingIoThread(XnioIoThread delegate, MemoryBudget memory, Meters meters) {
 		super(delegate.getWorker(), delegate.getNumber());
 		this.delegate = delegate;
 		this.memory = memory;
+		this.meters = meters;
 	}
 
 	/**
@@ -77,7 +81,7 @@
 			ChannelListener<? super StreamConnection> openListener) {
 		return (connection) -> {
 			ResponseReadConduit conduit = new ResponseReadConduit(connection.getSourceChannel().getConduit(),
-					destination, this.memory.open());
+					destination, this.memory.open(), this.meters);
 			connection.getSourceChannel().setConduit(conduit);
 			this.opening = conduit;
 			try {
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -9,6 +9,7 @@
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
+import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.logic.admission.MemoryBudget;
 
 /**
@@ -16,7 +17,7 @@
  * after a number of bytes, so that a reader that reads as long as data arrives returns to
  * the event loop. It fails if a server sends a head, or framing of a body, without end:
  * the client's parser keeps such bytes in memory and reports nothing until they end. It
- * also fails if a response does not begin with a status line.
+ * also fails if the bytes break a rule for responses.
  */
 final class ResponseReadConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
 
@@ -48,7 +49,9 @@
 
 	private final MemoryBudget.Account headAccount;
 
-	private final StatusLineChecker statusLine = new StatusLineChecker();
+	private final Meters meters;
+
+	private final ResponseChecker checker = new ResponseChecker();
 
 	private int bytesInTurn;
 
@@ -58,17 +61,19 @@
 
 	private long bodyBytes;
 
-	ResponseReadConduit(StreamSourceConduit next, SocketAddress server, MemoryBudget.Account headAccount) {
+	ResponseReadConduit(StreamSourceConduit next, SocketAddress server, MemoryBudget.Account headAccount,
+			Meters meters) {
 		super(next);
 		this.server = server;
 		this.headAccount = headAccount;
+		this.meters = meters;
 	}
 
 	/**
 	 * Records that the next request is being sent on the connection.
 	 */
 	void onRequest() {
-		this.statusLine.reset();
+		this.checker.onRequest();
 		this.headRead = false;
 		this.overheadBytes = 0;
 		this.bodyBytes = 0;
@@ -110,16 +115,24 @@
 		if (count > 0) {
 			this.overheadBytes += count;
 			checkOverhead();
-			checkStatusLine(buffer, startPosition);
+			checkBytes(buffer, startPosition);
 		}
 		return count;
 	}
 
-	private void checkStatusLine(ByteBuffer buffer, int startPosition) throws IOException {
-		for (int index = startPosition; index < buffer.position() && !this.statusLine.isDone(); index++) {
-			if (!this.statusLine.accepts(buffer.get(index))) {
-				throw rejected("a response that does not begin with a status line of HTTP/1.0 or HTTP/1.1");
-			}
+	private void checkBytes(ByteBuffer buffer, int startPosition) throws IOException {
+		try {
+			this.checker.check(buffer, startPosition, buffer.position());
+		}
+		catch (MalformedResponseException ex) {
+			this.meters.counter("anvilusher.responses.malformed", "rule", ex.rule().label()).increment();
+			LOGGER.atWarn()
+				.addKeyValue("server_address", this.server)
+				.addKeyValue("rule", ex.rule().label())
+				.addKeyValue("line", this.checker.line())
+				.log("Server at {} broke a rule for responses: {}. The line is \"{}\"; the connection is closed",
+						this.server, ex.rule().text(), this.checker.line());
+			throw ex;
 		}
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/StreamingHttpClient.java
@@ -26,6 +26,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 
+import io.anvilusher.adapters.metrics.Meters;
 import io.anvilusher.adapters.process.MonotonicClock;
 import io.anvilusher.logic.admission.MemoryBudget;
 
@@ -67,22 +68,37 @@
 
 	private final MemoryBudget memory;
 
-	private StreamingHttpClient(XnioWorker worker, MemoryBudget memory) {
+	private final Meters meters;
+
+	private StreamingHttpClient(XnioWorker worker, MemoryBudget memory, Meters meters) {
 		this.worker = worker;
 		this.memory = memory;
+		this.meters = meters;
 	}
 
 	/**
-	 * Creates a client whose responses in memory use a fixed share of the heap.
+	 * Creates a client whose responses in memory use a fixed share of the heap. Its
+	 * metrics are not shown.
 	 * @param name name of its I/O threads
 	 * @param ioThreads number of its I/O threads
 	 * @return the client
 	 */
 	public static StreamingHttpClient create(String name, int ioThreads) {
-		return create(name, ioThreads, MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+		return create(name, ioThreads, new Meters());
+	}
+
+	/**
+	 * Creates a client whose responses in memory use a fixed share of the heap.
+	 * @param name name of its I/O threads
+	 * @param ioThreads number of its I/O threads
+	 * @param meters counts malformed responses
+	 * @return the client
+	 */
+	public static StreamingHttpClient create(String name, int ioThreads, Meters meters) {
+		return create(name, ioThreads, MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory()), meters);
 	}
 
-	private static StreamingHttpClient create(String name, int ioThreads, MemoryBudget memory) {
+	private static StreamingHttpClient create(String name, int ioThreads, MemoryBudget memory, Meters meters) {
 		try {
 			return new StreamingHttpClient(Xnio.getInstance()
 				.createWorker(OptionMap.builder()
@@ -92,7 +108,7 @@
 					.set(Options.WORKER_TASK_MAX_THREADS, 1)
 					.set(Options.TCP_NODELAY, true)
 					.set(Options.THREAD_DAEMON, true)
-					.getMap()), memory);
+					.getMap()), memory, meters);
 		}
 		catch (IOException ex) {
 			throw new IllegalStateException("Cannot start the I/O threads of the HTTP client", ex);
@@ -104,10 +120,11 @@
 	 * made for it can be handled by the same thread.
 	 * @param worker worker that owns the threads; {@link #close()} shuts it down
 	 * @param memory bounds the responses in memory
+	 * @param meters counts malformed responses
 	 * @return the client
 	 */
-	public static StreamingHttpClient on(XnioWorker worker, MemoryBudget memory) {
-		return new StreamingHttpClient(worker, memory);
+	public static StreamingHttpClient on(XnioWorker worker, MemoryBudget memory, Meters meters) {
+		return new StreamingHttpClient(worker, memory, meters);
 	}
 
 	/**
@@ -117,7 +134,7 @@
 	 * @return the client
 	 */
 	public StreamingHttpClient onOwnThread(String name) {
-		return create(name, 1, MemoryBudget.ofHeapForControl(Runtime.getRuntime().maxMemory()));
+		return create(name, 1, MemoryBudget.ofHeapForControl(Runtime.getRuntime().maxMemory()), this.meters);
 	}
 
 	/**
@@ -159,7 +176,7 @@
 		Runnable cancelTimeout = afterReading(thread, CONNECT_TIMEOUT_MS,
 				() -> running.onConnectTimeout(CONNECT_TIMEOUT_MS));
 		ConnectingIoThread connectThread = this.connectThreads.computeIfAbsent(thread,
-				(delegate) -> new ConnectingIoThread(delegate, this.memory));
+				(delegate) -> new ConnectingIoThread(delegate, this.memory, this.meters));
 		ClientCallback<ClientConnection> callback = new ClientCallback<>() {
 
 			@Override
--- a/adapters/src/test/java/io/anvilusher/adapters/http/HttpListenerTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/HttpListenerTests.java
@@ -72,7 +72,7 @@
 				.set(Options.WORKER_NAME, "listener-test")
 				.set(Options.THREAD_DAEMON, true)
 				.getMap());
-		this.client = StreamingHttpClient.on(this.worker, new MemoryBudget(1_000_000));
+		this.client = StreamingHttpClient.on(this.worker, new MemoryBudget(1_000_000), this.meters);
 		this.listener = HttpListener.start(
 				new InetSocketAddress("127.0.0.1", 0), this.worker, new ListenerLimits("test", MAX_CONNECTIONS, 100_000,
 						new RequestLimits(24_576, 200, 1_000, 1_000, 60), 10_000, 60_000, STALLED_TIMEOUT_MS),
--- a/entry/src/main/java/io/anvilusher/entry/Entry.java
+++ b/entry/src/main/java/io/anvilusher/entry/Entry.java
@@ -78,7 +78,7 @@
 
 	private final ControlFollower follower = new ControlFollower(this.controlThread, MonotonicClock.SYSTEM);
 
-	private final StreamingHttpClient platformClient = StreamingHttpClient.create("platform", 1);
+	private final StreamingHttpClient platformClient = StreamingHttpClient.create("platform", 1, this.meters);
 
 	private final EventLoopGroup peerIoGroup = new MultiThreadIoEventLoopGroup(PEER_IO_THREADS,
 			NioIoHandler.newFactory());
--- a/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
+++ b/gateway/src/main/java/io/anvilusher/gateway/Gateway.java
@@ -223,7 +223,7 @@
 		MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
 		this.meters.gauge("anvilusher.memory.held.bytes", memory, MemoryBudget::heldBytes);
 		this.meters.gauge("anvilusher.memory.refusals", memory, MemoryBudget::refusals);
-		StreamingHttpClient client = StreamingHttpClient.on(this.worker, memory);
+		StreamingHttpClient client = StreamingHttpClient.on(this.worker, memory, this.meters);
 		this.adapter = factory.create(settings, client);
 		XnioIoThread thread = this.worker.getIoThread();
 		Random random = new Random();
--- a/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
+++ b/sidecar/src/main/java/io/anvilusher/sidecar/Sidecar.java
@@ -83,11 +83,11 @@
 
 	private final AdmissionGate gate = new AdmissionGate();
 
-	private final StreamingHttpClient client = StreamingHttpClient.create("backend", CLIENT_THREADS);
+	private final StreamingHttpClient client = StreamingHttpClient.create("backend", CLIENT_THREADS, this.meters);
 
 	private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(NETTY_THREADS, NioIoHandler.newFactory());
 
-	private final StreamingHttpClient platformClient = StreamingHttpClient.create("platform", 1);
+	private final StreamingHttpClient platformClient = StreamingHttpClient.create("platform", 1, this.meters);
 
 	private final ServerReporter reporter;
 
