Check chunks and trailers of servers' responses byte by byte

Callers saw: a whole 200 whose chunks or trailers were damaged (a chunk of 40 bytes with the size 39 or 41, CR or LF missing, a size "2 8", a trailer that is no field); and a stream whose next chunk was "xyz" that stood still until its deadline of 3 s.

Cause: Undertow takes lenient sizes and ends of chunks, skips what follows a last chunk, and takes "xyz" for a size whose chunk it waits for.

The checker of the heads follows the chunks to their trailers (RFC 9112, 7.1) and skips their data without looking at it. The trailers are field lines like those of the head. A broken chunk ends the attempt at once, so that a stream is resumed elsewhere.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -106,7 +106,7 @@
 			return;
 		}
 		this.requestSent = true;
-		opened.input().onRequest();
+		opened.input().onRequest(this.call.method());
 		this.listener.onSending();
 		opened.connection().sendRequest(request(), new ClientCallback<>() {
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -71,9 +71,10 @@
 
 	/**
 	 * Records that the next request is being sent on the connection.
+	 * @param method method of the request
 	 */
-	void onRequest() {
-		this.checker.onRequest();
+	void onRequest(String method) {
+		this.checker.onRequest(method);
 		this.headRead = false;
 		this.overheadBytes = 0;
 		this.bodyBytes = 0;
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseRule.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseRule.java
@@ -27,7 +27,10 @@
 	TRANSFER_ENCODING("Transfer-Encoding is \"chunked\", once, and only in HTTP/1.1"),
 
 	/** RFC 9112, section 6.3. */
-	LENGTH_AND_CODING("a response has no Content-Length beside Transfer-Encoding");
+	LENGTH_AND_CODING("a response has no Content-Length beside Transfer-Encoding"),
+
+	/** RFC 9112, section 7.1. */
+	CHUNK("a chunk is a hexadecimal size, CR LF, that many bytes and CR LF");
 
 	private final String text;
 
