Reject a response that goes on after its end

Callers saw: 20, 0 or 39 bytes of a body of 40 as a whole 200, since the length was smaller than what the server sent and the rest was left over; the same in chunks, and after a response to HEAD, a 204 or a 304 that a body followed.

Cause: the client reads as far as the length says and looks at nothing behind it. Bytes behind it show that the length is wrong, unless another response begins there (a server that answers twice), which says nothing about the first one.

The checker knows where a response ends and rejects what follows in the same read, unless it begins as a response does. When a response with a known end is complete, ClientCall reads once more and rejects what has arrived by then. In both cases of another response, and after the end of the connection, the connection is not used again. A 204 that announces a body is rejected as well. What arrives later cannot be told apart any more; such bytes close the idle connection, as before.

Already handled, tests kept: bytes on an idle connection, and a second response in the same read (the connection is closed, the next call opens another).

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -290,27 +291,29 @@
 		if (this.ended) {
 			return;
 		}
-		this.ended = true;
-		if (this.connection != null) {
-			this.connection.input().onEnd();
+		ServerConnection used = Objects.requireNonNull(this.connection, "a call without a connection has ended");
+		boolean reusable;
+		try {
+			reusable = this.responseFramed && used.input().checkEnd();
+		}
+		catch (IOException ex) {
+			fail(ex);
+			return;
 		}
-		if (this.connection != null && this.requestBodyWritten && !this.call.ownConnection()) {
-			this.client.returnToPool(this.call.target(), this.connection, this.keepAliveMs);
+		this.ended = true;
+		// A server would read the next request as the rest of an incomplete body. A late
+		// answer would be taken for the next one.
+		if (reusable && this.requestBodyWritten && !this.call.ownConnection()) {
+			used.input().onIdle();
+			this.client.returnToPool(this.call.target(), used, this.keepAliveMs);
 		}
 		else {
-			// The server would read the next request as the rest of an incomplete body.
-			// A late answer would be taken for the next one.
-			close();
+			used.input().onAbandoned();
+			IoUtils.safeClose(used.connection());
 		}
 		this.listener.onEnd();
 	}
 
-	private void close() {
-		if (this.connection != null) {
-			IoUtils.safeClose(this.connection.connection());
-		}
-	}
-
 	/**
 	 * Fails the call and closes its connection, unless it has ended.
 	 * @param cause cause of the failure, which the listener gets
@@ -327,7 +330,7 @@
 		this.cancelled = true;
 		try {
 			if (this.connection != null) {
-				this.connection.input().onEnd();
+				this.connection.input().onAbandoned();
 				closeImmediately(this.connection.connection());
 			}
 		}
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseChecker.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseChecker.java
@@ -3,13 +3,16 @@
 import java.nio.ByteBuffer;
 
 /**
- * Checks the heads of all responses that a server sends on one connection, and the
- * framing of bodies in chunks. The bytes may come in parts of any size, and interim
- * responses may come first. Undertow's parser is lenient: it takes a response for whole
- * although its head contradicts itself or was damaged.
+ * Checks all bytes that a server sends on one connection: the heads of its responses, the
+ * framing of their bodies, and that nothing else follows them. The bytes may come in
+ * parts of any size. Undertow's parser is lenient: it takes a response for whole although
+ * its head contradicts itself or was damaged.
  */
 final class ResponseChecker {
 
+	/** How the bytes that follow a response may begin. */
+	private static final String NEXT_RESPONSE = "HTTP/1.";
+
 	private static final int NO_CONTENT = 204;
 
 	private static final int NOT_MODIFIED = 304;
@@ -24,16 +27,21 @@
 
 	private final LineExcerpt line = new LineExcerpt();
 
-	private Part part = Part.UNCHECKED;
+	private Part part = Part.IDLE;
 
 	private boolean toHead;
 
+	private long bodyBytes;
+
+	private int followingBytes;
+
 	/**
 	 * Begins with the response to the next request, whose first byte comes next.
 	 * @param method method of the request
 	 */
 	void onRequest(String method) {
 		this.toHead = method.equals("HEAD");
+		this.followingBytes = 0;
 		beginResponse();
 	}
 
@@ -42,6 +50,29 @@
 		this.part = Part.STATUS_LINE;
 	}
 
+	/**
+	 * Records that the call has ended and that its connection waits for the next request.
+	 */
+	void onIdle() {
+		this.part = Part.IDLE;
+	}
+
+	/**
+	 * Records that the connection is being closed, so that no byte matters any more.
+	 */
+	void onAbandoned() {
+		this.part = Part.ABANDONED;
+	}
+
+	/**
+	 * Returns whether bytes have followed the end of the response. They may be a late
+	 * copy of an earlier response, which must not be taken for the next one.
+	 * @return whether there were any
+	 */
+	boolean isFollowed() {
+		return this.followingBytes > 0;
+	}
+
 	/**
 	 * Returns the beginning of the line that was checked last.
 	 * @return the line in printable characters, cut to a bound
@@ -60,8 +91,8 @@
 	void check(ByteBuffer buffer, int from, int to) throws MalformedResponseException {
 		int index = from;
 		try {
-			while (index < to && this.part != Part.UNCHECKED) {
-				int skipped = (this.part == Part.CHUNKS) ? this.chunks.skipData(to - index) : 0;
+			while (index < to) {
+				int skipped = skipBody(to - index);
 				if (skipped == 0) {
 					byte next = buffer.get(index);
 					this.line.add(next);
@@ -72,7 +103,7 @@
 			}
 		}
 		catch (MalformedResponseException ex) {
-			this.part = Part.UNCHECKED;
+			this.part = Part.ABANDONED;
 			for (int rest = index + 1; rest < to && !this.line.isEnded(); rest++) {
 				this.line.add(buffer.get(rest));
 			}
@@ -80,6 +111,22 @@
 		}
 	}
 
+	private int skipBody(int availableBytes) {
+		return switch (this.part) {
+			case FIXED_BODY -> {
+				int skipped = (int) Math.min(availableBytes, this.bodyBytes);
+				this.bodyBytes -= skipped;
+				if (this.bodyBytes == 0) {
+					this.part = Part.END;
+				}
+				yield skipped;
+			}
+			case CHUNKS -> this.chunks.skipData(availableBytes);
+			case OPEN_BODY, ABANDONED -> availableBytes;
+			case STATUS_LINE, FIELDS, TRAILERS, END, IDLE -> 0;
+		};
+	}
+
 	private void checkByte(byte next) throws MalformedResponseException {
 		switch (this.part) {
 			case STATUS_LINE -> {
@@ -101,31 +148,73 @@
 			}
 			case TRAILERS -> {
 				if (this.fields.endsWith(next)) {
-					this.part = Part.UNCHECKED;
+					this.part = Part.END;
 				}
 			}
-			case UNCHECKED -> throw new IllegalStateException("these bytes are not checked");
+			case END -> checkFollowing(next);
+			case IDLE -> throw new MalformedResponseException(ResponseRule.UNREQUESTED);
+			case FIXED_BODY, OPEN_BODY, ABANDONED -> throw new IllegalStateException("body bytes are skipped");
 		}
 	}
 
-	private void onHeadEnd() {
+	private void onHeadEnd() throws MalformedResponseException {
 		int status = this.statusLine.status();
 		if (status < FIRST_FINAL_STATUS) {
 			beginResponse();
 			return;
 		}
-		boolean bodiless = this.toHead || status == NO_CONTENT || status == NOT_MODIFIED;
-		if (bodiless || !this.fields.framing().isChunked()) {
-			this.part = Part.UNCHECKED;
-			return;
+		FramingFields framing = this.fields.framing();
+		this.bodyBytes = framing.lengthBytes();
+		if (status == NO_CONTENT && (this.bodyBytes > 0 || framing.isChunked())) {
+			throw new MalformedResponseException(ResponseRule.NO_CONTENT);
+		}
+		if (this.toHead || status == NO_CONTENT || status == NOT_MODIFIED || this.bodyBytes == 0) {
+			this.part = Part.END;
+		}
+		else if (framing.isChunked()) {
+			this.chunks.reset();
+			this.part = Part.CHUNKS;
+		}
+		else {
+			this.part = (this.bodyBytes == FramingFields.NO_LENGTH) ? Part.OPEN_BODY : Part.FIXED_BODY;
+		}
+	}
+
+	// Anything but another response shows that the length of this one was wrong.
+	private void checkFollowing(byte next) throws MalformedResponseException {
+		if (this.followingBytes < NEXT_RESPONSE.length()) {
+			if (next != NEXT_RESPONSE.charAt(this.followingBytes)) {
+				throw new MalformedResponseException(ResponseRule.RESPONSE_END);
+			}
+			this.followingBytes++;
 		}
-		this.chunks.reset();
-		this.part = Part.CHUNKS;
 	}
 
 	private enum Part {
 
-		STATUS_LINE, FIELDS, CHUNKS, TRAILERS, UNCHECKED
+		/** No request waits for a response. */
+		IDLE,
+
+		STATUS_LINE,
+
+		FIELDS,
+
+		/** A body with a length. */
+		FIXED_BODY,
+
+		/** A body in chunks; their data and their framing. */
+		CHUNKS,
+
+		TRAILERS,
+
+		/** A body that ends with the connection. */
+		OPEN_BODY,
+
+		/** What follows the response. */
+		END,
+
+		/** The connection is being closed. */
+		ABANDONED
 
 	}
 
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseReadConduit.java
@@ -45,6 +45,9 @@
 	 */
 	private static final long MEMORY_PER_HEAD_BYTE = 8;
 
+	/** Enough to tell another response from the rest of a body. */
+	private static final int FOLLOWING_BYTES = 16;
+
 	private final SocketAddress server;
 
 	private final MemoryBudget.Account headAccount;
@@ -53,6 +56,9 @@
 
 	private final ResponseChecker checker = new ResponseChecker();
 
+	/** Takes what follows a response; what it holds is not used. */
+	private final ByteBuffer following = ByteBuffer.allocate(FOLLOWING_BYTES);
+
 	private int bytesInTurn;
 
 	private boolean headRead;
@@ -89,10 +95,39 @@
 	}
 
 	/**
-	 * Records that the call has ended, with or without a response.
+	 * Records that the call has ended and that the connection waits for the next one.
+	 */
+	void onIdle() {
+		onHead();
+		this.checker.onIdle();
+	}
+
+	/**
+	 * Records that the call has ended, with or without a response, and that its
+	 * connection is being closed.
 	 */
-	void onEnd() {
+	void onAbandoned() {
 		onHead();
+		this.checker.onAbandoned();
+	}
+
+	/**
+	 * Checks that no part of the response is left unread after its end. A body that is
+	 * longer than its length would look whole otherwise.
+	 * @return whether the next request may be sent on the connection
+	 * @throws IOException if something else than another response has arrived
+	 */
+	boolean checkEnd() throws IOException {
+		int count;
+		try {
+			count = super.read(this.following.clear());
+		}
+		catch (IOException ex) {
+			LOGGER.debug("Connection to {} ended after a whole response", this.server, ex);
+			return false;
+		}
+		checkBytes(this.following, 0);
+		return count == 0 && !this.checker.isFollowed();
 	}
 
 	/**
--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseRule.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseRule.java
@@ -29,8 +29,17 @@
 	/** RFC 9112, section 6.3. */
 	LENGTH_AND_CODING("a response has no Content-Length beside Transfer-Encoding"),
 
+	/** RFC 9110, section 8.6, and RFC 9112, section 6.1. */
+	NO_CONTENT("a response with status 204 announces no body"),
+
 	/** RFC 9112, section 7.1. */
-	CHUNK("a chunk is a hexadecimal size, CR LF, that many bytes and CR LF");
+	CHUNK("a chunk is a hexadecimal size, CR LF, that many bytes and CR LF"),
+
+	/** RFC 9112, section 6.3. */
+	RESPONSE_END("nothing follows the end of a response but another one"),
+
+	/** RFC 9112, section 9.2. */
+	UNREQUESTED("nothing arrives while no request waits for a response");
 
 	private final String text;
 
--- a/verification/src/test/java/io/anvilusher/verification/PartialAnswerTests.java
+++ b/verification/src/test/java/io/anvilusher/verification/PartialAnswerTests.java
@@ -42,13 +42,14 @@
 			"HTTP/1.1 2000 OK", "HTTP/1.1 -200", "HTTP/1.1 2x0 OK", "HTTP/1.1 4294967496 OK", "HTTP/1.1200 OK",
 			"HTTP/9.9 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "ICY 200 OK", "", "\u0000\u0001\u0002");
 
-	private static final List<String> WRONG_HEADS = List.of("Content-Length: 1\r\nContent-Length: 2\r\n",
-			"Content-Length: 2\r\nContent-Length: 1\r\n", "Content-Length: 2\r\nContent-Length: x\r\n",
-			"Content-Length: +2\r\n", "Content-Length: 2x\r\n", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
-			"X-A: a\r\n Content-Length: 2\r\n", "\tX-A: a\r\nContent-Length: 2\r\n", "X@A: a\r\nContent-Length: 2\r\n",
-			"X A: a\r\nContent-Length: 2\r\n", "X-A : a\r\nContent-Length: 2\r\n",
-			"X\u0001A: a\r\nContent-Length: 2\r\n", " : a\r\nContent-Length: 2\r\n", "X-A\r\nContent-Length: 2\r\n",
-			"X-A: a\rb\r\nContent-Length: 2\r\n", "X-A: a\u0000b\r\nContent-Length: 2\r\n");
+	private static final List<String> WRONG_HEADS = List.of("Content-Length: 1\r\n", "Content-Length: 0\r\n",
+			"Content-Length: 1\r\nContent-Length: 2\r\n", "Content-Length: 2\r\nContent-Length: 1\r\n",
+			"Content-Length: 2\r\nContent-Length: x\r\n", "Content-Length: +2\r\n", "Content-Length: 2x\r\n",
+			"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "X-A: a\r\n Content-Length: 2\r\n",
+			"\tX-A: a\r\nContent-Length: 2\r\n", "X@A: a\r\nContent-Length: 2\r\n", "X A: a\r\nContent-Length: 2\r\n",
+			"X-A : a\r\nContent-Length: 2\r\n", "X\u0001A: a\r\nContent-Length: 2\r\n", " : a\r\nContent-Length: 2\r\n",
+			"X-A\r\nContent-Length: 2\r\n", "X-A: a\rb\r\nContent-Length: 2\r\n",
+			"X-A: a\u0000b\r\nContent-Length: 2\r\n");
 
 	private Deployment deployment;
 
