End a 304 with a length at its head

Callers saw: 504 after their deadline where a server answered 304 with the length of the content (RFC 9110, 8.6, allows it).

Cause: Undertow's client waits for a body of that length.

ClientCall ends the response at its head and does not use the connection again, since Undertow's client still waits on it.

--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -46,6 +46,10 @@
 
 	private static final int MAX_STATUS = 599;
 
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	private final StreamingHttpClient client;
 
 	private final HttpCall call;
@@ -64,6 +68,11 @@
 
 	private boolean responseFramed;
 
+	/**
+	 * Whether Undertow's client waits for a body that the response does not have.
+	 */
+	private boolean bodyAwaited;
+
 	/**
 	 * Whether the connection has ended a response without length before the request body
 	 * was written.
@@ -221,6 +230,12 @@
 		this.responseFramed = response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
 				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING) || isBodiless(response);
 		this.listener.onHead(status, headers, this.responseFramed);
+		if (describesAnotherBody(response)) {
+			// Undertow would wait for that body.
+			this.bodyAwaited = true;
+			endCall();
+			return;
+		}
 		StreamSourceChannel source = exchange.getResponseChannel();
 		this.responseChannel = source;
 		source.getReadSetter().set((channel) -> guard(() -> readBody(channel)));
@@ -242,10 +257,18 @@
 	}
 
 	private boolean isBodiless(ClientResponse response) {
-		return response.getResponseCode() == 204 || response.getResponseCode() == 304
+		return response.getResponseCode() == NO_CONTENT || response.getResponseCode() == NOT_MODIFIED
 				|| this.call.method().equals("HEAD");
 	}
 
+	// A 304 has the length that a response with the content would have (RFC 9110, section
+	// 8.6).
+	private static boolean describesAnotherBody(ClientResponse response) {
+		return response.getResponseCode() == NOT_MODIFIED
+				&& (response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
+						|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING));
+	}
+
 	private void readBody(StreamSourceChannel source) {
 		try (PooledByteBuffer pooled = this.client.allocate()) {
 			ByteBuffer buffer = pooled.getBuffer();
@@ -294,7 +317,7 @@
 		ServerConnection used = Objects.requireNonNull(this.connection, "a call without a connection has ended");
 		boolean reusable;
 		try {
-			reusable = this.responseFramed && used.input().checkEnd();
+			reusable = this.responseFramed && used.input().checkEnd() && !this.bodyAwaited;
 		}
 		catch (IOException ex) {
 			fail(ex);
--- a/adapters/src/test/java/io/anvilusher/adapters/http/MalformedResponseTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/MalformedResponseTests.java
@@ -159,6 +159,25 @@
 		}
 	}
 
+	@DataProvider
+	public Object[][] unmodifiedResponses() {
+		return new Object[][] { { "Content-Length: 4" }, { "Transfer-Encoding: chunked" } };
+	}
+
+	/**
+	 * Guards against a call that waits for the body that a 304 only describes (RFC 9110,
+	 * section 8.6).
+	 */
+	@Test(dataProvider = "unmodifiedResponses")
+	public void responseThatDescribesAnotherBodyEndsWithItsHead(String field) throws Exception {
+		CompletableFuture<HttpCallResponse> response = call("GET");
+		try (Socket socket = acceptRequest()) {
+			write(socket, "HTTP/1.1 304 x\r\n" + field + "\r\n\r\n");
+			assertEquals(response.get(TIMEOUT_MS / 2, TimeUnit.MILLISECONDS).status(), 304);
+			assertNextCallOpensAConnection();
+		}
+	}
+
 	@DataProvider
 	public Object[][] lateBytes() {
 		return new Object[][] { { "x" }, { "\r\n" }, { OK + "Content-Length: 4\r\n\r\nlate" } };
