--- a/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ClientCall.java
@@ -261,12 +261,12 @@
 				|| this.call.method().equals("HEAD");
 	}
 
-	// A 304 has the length that a response with the content would have (RFC 9110, section
-	// 8.6).
+	// A 304 has the framing that a response with the content would have (RFC 9110,
+	// section 8.6).
 	private static boolean describesAnotherBody(ClientResponse response) {
-		return response.getResponseCode() == NOT_MODIFIED
-				&& (response.getResponseHeaders().contains(Headers.CONTENT_LENGTH)
-						|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING));
+		String length = response.getResponseHeaders().getFirst(Headers.CONTENT_LENGTH);
+		return response.getResponseCode() == NOT_MODIFIED && ((length != null && !length.equals("0"))
+				|| response.getResponseHeaders().contains(Headers.TRANSFER_ENCODING));
 	}
 
 	private void readBody(StreamSourceChannel source) {
--- a/adapters/src/test/java/io/anvilusher/adapters/http/MalformedResponseTests.java
+++ b/adapters/src/test/java/io/anvilusher/adapters/http/MalformedResponseTests.java
@@ -141,7 +141,8 @@
 		return new Object[][] { { "HEAD", OK + "Content-Length: 4\r\n\r\n", 200 },
 				{ "HEAD", OK + "Transfer-Encoding: chunked\r\n\r\n", 200 }, { "HEAD", OK + "\r\n", 200 },
 				{ "GET", "HTTP/1.1 204 x\r\n\r\n", 204 }, { "GET", "HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n", 204 },
-				{ "GET", "HTTP/1.1 304 x\r\n\r\n", 304 }, { "GET", OK + "Content-Length: 0\r\n\r\n", 200 } };
+				{ "GET", "HTTP/1.1 304 x\r\n\r\n", 304 }, { "GET", "HTTP/1.1 304 x\r\nContent-Length: 0\r\n\r\n", 304 },
+				{ "GET", OK + "Content-Length: 0\r\n\r\n", 200 } };
 	}
 
 	/** Guards against a call that waits for a body, and against a lost connection. */
