--- a/adapters/src/main/java/io/anvilusher/adapters/http/FramingFields.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/FramingFields.java
@@ -23,7 +23,7 @@
 
 	private Field field = Field.OTHER;
 
-	private long digits;
+	private long currentBytes;
 
 	private boolean valueEnded;
 
@@ -49,7 +49,7 @@
 
 	void onValueStart() {
 		this.field = this.lengthName.matches() ? Field.LENGTH : this.codingName.matches() ? Field.CODING : Field.OTHER;
-		this.digits = NO_LENGTH;
+		this.currentBytes = NO_LENGTH;
 		this.valueEnded = false;
 		this.chunkedCoding.reset();
 	}
@@ -70,15 +70,15 @@
 
 	private void readLength(byte next) throws MalformedResponseException {
 		if (isBlank(next)) {
-			this.valueEnded = this.digits != NO_LENGTH;
+			this.valueEnded = this.currentBytes != NO_LENGTH;
 			return;
 		}
 		int digit = next - '0';
-		long before = Math.max(0, this.digits);
+		long before = Math.max(0, this.currentBytes);
 		if (this.valueEnded || digit < 0 || digit > 9 || before > (Long.MAX_VALUE - digit) / 10) {
 			throw new MalformedResponseException(ResponseRule.CONTENT_LENGTH);
 		}
-		this.digits = before * 10 + digit;
+		this.currentBytes = before * 10 + digit;
 	}
 
 	private void readCoding(byte next) throws MalformedResponseException {
@@ -104,11 +104,11 @@
 	 */
 	void onValueEnd() throws MalformedResponseException {
 		if (this.field == Field.LENGTH) {
-			boolean differs = this.lengthBytes != NO_LENGTH && this.lengthBytes != this.digits;
-			if (this.digits == NO_LENGTH || differs) {
+			boolean differs = this.lengthBytes != NO_LENGTH && this.lengthBytes != this.currentBytes;
+			if (this.currentBytes == NO_LENGTH || differs) {
 				throw new MalformedResponseException(ResponseRule.CONTENT_LENGTH);
 			}
-			this.lengthBytes = this.digits;
+			this.lengthBytes = this.currentBytes;
 		}
 		else if (this.field == Field.CODING) {
 			if (!this.chunkedCoding.matches() || this.chunked || !this.codingAllowed) {
--- a/adapters/src/main/java/io/anvilusher/adapters/http/LineExcerpt.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/LineExcerpt.java
@@ -9,7 +9,7 @@
 
 	private final byte[] bytes = new byte[MAX_BYTES];
 
-	private int length;
+	private int lengthBytes;
 
 	private boolean ended;
 
@@ -19,12 +19,12 @@
 	 */
 	void add(byte next) {
 		if (this.ended) {
-			this.length = 0;
+			this.lengthBytes = 0;
 		}
-		if (this.length < MAX_BYTES) {
-			this.bytes[this.length] = next;
+		if (this.lengthBytes < MAX_BYTES) {
+			this.bytes[this.lengthBytes] = next;
 		}
-		this.length++;
+		this.lengthBytes++;
 		this.ended = next == '\n';
 	}
 
@@ -39,7 +39,7 @@
 	@Override
 	public String toString() {
 		StringBuilder text = new StringBuilder();
-		for (int index = 0; index < Math.min(this.length, MAX_BYTES); index++) {
+		for (int index = 0; index < Math.min(this.lengthBytes, MAX_BYTES); index++) {
 			byte next = this.bytes[index];
 			if (next >= ' ' && next < 0x7f && next != '\\') {
 				text.append((char) next);
@@ -48,7 +48,7 @@
 				text.append(String.format("\\x%02x", next));
 			}
 		}
-		if (this.length > MAX_BYTES) {
+		if (this.lengthBytes > MAX_BYTES) {
 			return text.append("...").toString();
 		}
 		return text.toString().replaceFirst("\\\\x0d\\\\x0a$", "");
