--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseChecker.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseChecker.java
@@ -180,14 +180,16 @@
 		}
 	}
 
-	// Anything but another response shows that the length of this one was wrong.
+	// Servers that send a body to HEAD are common; it is not passed on. After any other
+	// response, what begins no other one shows that its length was wrong.
 	private void checkFollowing(byte next) throws MalformedResponseException {
-		if (this.followingBytes < NEXT_RESPONSE.length()) {
-			if (next != NEXT_RESPONSE.charAt(this.followingBytes)) {
-				throw new MalformedResponseException(ResponseRule.RESPONSE_END);
-			}
-			this.followingBytes++;
+		if (this.followingBytes >= NEXT_RESPONSE.length()) {
+			return;
+		}
+		if (!this.toHead && next != NEXT_RESPONSE.charAt(this.followingBytes)) {
+			throw new MalformedResponseException(ResponseRule.RESPONSE_END);
 		}
+		this.followingBytes++;
 	}
 
 	private enum Part {
