--- a/adapters/src/main/java/io/anvilusher/adapters/http/ResponseChecker.java
+++ b/adapters/src/main/java/io/anvilusher/adapters/http/ResponseChecker.java
@@ -180,8 +180,8 @@
 		}
 	}
 
-	// Servers that send a body to HEAD are common; it is not passed on. After any other
-	// response, what begins no other one shows that its length was wrong.
+	// A body after the response to HEAD is a common fault of servers and is ignored.
+	// Otherwise, bytes that begin no further response show that the length was wrong.
 	private void checkFollowing(byte next) throws MalformedResponseException {
 		if (this.followingBytes >= NEXT_RESPONSE.length()) {
 			return;
